Log counters of refusals by reason and of outcomes every five seconds

One line each five seconds from the module: what was sent, how often in a row to one backend, why tries were refused, how attempts ended, and the view of the back end.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -104,7 +104,7 @@
 		g.awake = g.now - g.still
 		return
 	}
-	g.born, g.swept, g.lend.at, g.awake = max(1, now), now, now, now
+	g.born, g.swept, g.lend.at, g.awake, g.counts.since = max(1, now), now, now, now, now
 	g.rouse()
 	if g.set.AskMembers {
 		g.follow()
@@ -159,6 +159,7 @@
 // feeding bank 0 at its rate.
 func (g *Gateway) sweep() {
 	g.swept = g.now
+	g.report()
 	g.showView(viewPeers) // it is heard though this gateway sends nothing
 	kept := g.order[:0]
 	for _, c := range g.order {
@@ -440,11 +441,6 @@
 	c.others.add(now, c.window, more)
 }
 
-func (b *backend) slowBy(now Time, x float64) {
-	b.slow = b.slowness(now) + learnOne*(math.Min(x, 20)-b.slowness(now))
-	b.slowAt = now
-}
-
 // sick tells whether a backend is left out. Probes, if allowed, are the trial of one that is
 // down; else, and after errors, one request at a time is.
 func (g *Gateway) sick(b *backend) bool {
@@ -721,7 +717,7 @@
 	if g.now > g.woke {
 		grace.add(float64(q.Grace), learnOne)
 	} else if grace.v-float64(q.Grace)+g.base[q.Class].v > float64(g.set.Classes[q.Class].Aim) {
-		g.refuse(q.ID, 0) // it came while this gateway stood still, and no answer is in time any more
+		g.refuse(q.ID, tooLate, 0) // it came while this gateway stood still, and no answer is in time any more
 		return
 	}
 	plan := &g.set.Plans[q.Plan]
@@ -729,7 +725,7 @@
 	g.ask(c, q.Units)
 	r := &request{Request: q, until: now + q.Grace, c: c}
 	if g.full(g.open(&q, plan)) {
-		g.refuse(q.ID, g.shortAim/2)
+		g.refuse(q.ID, noRoom, g.shortAim/2)
 	} else if g.member(c) && g.consults(c) {
 		g.consult(r)
 	} else {
@@ -743,17 +739,17 @@
 	if !inside {
 		g.lend.refill(g.now)
 		if !plan.soft() || g.lend.level < q.Units || g.full(lendShare) {
-			g.refuse(q.ID, until(g.level(c), g.part(c)*plan.Rate, q.Units))
+			g.refuse(q.ID, overQuota, until(g.level(c), g.part(c)*plan.Rate, q.Units))
 			return
 		}
 	}
 	if plan.CeilingRate > 0 && c.ceiling.level < q.Units {
-		g.refuse(q.ID, until(c.ceiling.level, c.ceiling.rate, q.Units))
+		g.refuse(q.ID, overCeiling, until(c.ceiling.level, c.ceiling.rate, q.Units))
 		return
 	}
 	b := g.choose(r, nil)
 	if b == nil {
-		g.refuse(q.ID, g.shortAim/2)
+		g.refuse(q.ID, noBackend, g.shortAim/2)
 		return
 	}
 	if inside {
@@ -800,6 +796,7 @@
 		base == 0 || until+base > r.attempts[0].at+class.Aim {
 		until = 0
 	}
+	g.counts.sentTo(b)
 	g.do.Send(r.ID, b.Backend, until)
 }
 
@@ -813,6 +810,7 @@
 	}
 	a, class := r.attempts[o.Attempt], &g.set.Classes[r.Class]
 	a.pending = false
+	g.counts.outcomes[o.Result]++
 	a.mayRun = o.Result != Full && o.Result != ConnectFailed && o.Result != Moot
 	g.settle(r, a, &o)
 	r.over = r.over || o.Over
@@ -837,7 +835,7 @@
 	}
 	delete(g.requests, o.ID)
 	if refuse {
-		g.refuse(o.ID, g.shortAim/2)
+		g.refuse(o.ID, turnedAway, g.shortAim/2)
 	} else {
 		g.do.Fail(o.ID)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1092,3 +1092,15 @@
 func (quiet) SetTimer(Time, uint32)     {}
 func (quiet) Tell(int, []byte)          {}
 func (quiet) Log(string)                {}
+
+func TestCountersTellWhyTriesWereRefused(t *testing.T) {
+	r := newRig(t, settings())
+	for range 6 {
+		r.serve(0, 0, 9, 2) // a burst of 8 holds four
+	}
+	r.at += reportEvery
+	r.Timer(r.at, noteToken)
+	if r.count("log sent 4,") != 1 || !strings.Contains(strings.Join(r.done, "\n"), "quota 2,") {
+		t.Errorf("%q, want one line of counters with 4 sent and 2 refused for their quota", r.done)
+	}
+}
--- /dev/null
+++ b/decide/report.go
@@ -0,0 +1,57 @@
+package decide
+
+import "fmt"
+
+// reportEvery is the time between two lines of counters in the log.
+const reportEvery = 5 * second
+
+// reason is why a try was refused.
+type reason int
+
+const (
+	tooLate     reason = iota // it came while this gateway stood still
+	noRoom                    // the back end is full
+	overQuota                 // neither its own bank nor bank 0 holds its units
+	overCeiling               // nor its part of the ceiling
+	noBackend                 // none is usable
+	turnedAway                // all its attempts ended without having run
+	reasons
+)
+
+// counts is what happened since the last report.
+type counts struct {
+	since    Time
+	sent     int // attempts
+	inRow    int // those of them that went to the same backend as the one before
+	last     *backend
+	refused  [reasons]int
+	outcomes [Moot + 1]int
+}
+
+// sentTo counts an attempt. Many in a row to one backend tell that choice herds.
+func (n *counts) sentTo(b *backend) {
+	n.sent++
+	if n.last == b {
+		n.inRow++
+	}
+	n.last = b
+}
+
+// report writes the counters and the view of the back end for the people on call: a line
+// now and then, as a line a request would cost more than the request.
+func (g *Gateway) report() {
+	n := &g.counts
+	if g.now-n.since < reportEvery {
+		return
+	}
+	held, inTime, gateways := g.view()
+	g.do.Log(fmt.Sprintf("sent %d, in a row to one %d; refused: late %d, room %d, quota %d, ceiling %d, backend %d, turned away %d; "+
+		"ok %d, failed %d, full %d, timed out %d, no connection %d, reset %d, moot %d; "+
+		"held %.1f, in time %.1f/s, of %.1f gateways; late %.2f, mean %.0f ms, sound %d of %d",
+		n.sent, n.inRow, n.refused[tooLate], n.refused[noRoom], n.refused[overQuota], n.refused[overCeiling],
+		n.refused[noBackend], n.refused[turnedAway],
+		n.outcomes[OK], n.outcomes[Failed], n.outcomes[Full], n.outcomes[TimedOut], n.outcomes[ConnectFailed],
+		n.outcomes[Reset], n.outcomes[Moot],
+		held, inTime, gateways, g.late.v, g.mean.v/1000, g.alive, len(g.backends)))
+	*n = counts{since: g.now}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -85,6 +85,7 @@
 	shortAim                      Time
 	mean                          mean   // mean time an answer takes
 	base                          []mean // the same of each class
+	counts                        counts // since the last report
 	worth                         mean   // mean worth for work
 }
 
@@ -366,7 +367,8 @@
 }
 
 // refuse refuses with advice within what is allowed.
-func (g *Gateway) refuse(id uint64, after Time) {
+func (g *Gateway) refuse(id uint64, why reason, after Time) {
+	g.counts.refused[why]++
 	if !g.set.RetryAfter {
 		after = 0
 	}
@@ -451,6 +453,12 @@
 	return 1 + (b.slow-1)*math.Exp2(-float64(now-b.slowAt)/float64(healTime))
 }
 
+// slowBy takes in a sign of how slow the backend is.
+func (b *backend) slowBy(now Time, x float64) {
+	b.slow = b.slowness(now) + learnOne*(math.Min(x, 20)-b.slowness(now))
+	b.slowAt = now
+}
+
 // word adds a word of trouble, to be told with the next notes.
 func (g *Gateway) word(b *backend, about int) {
 	b.words[about].add(g.now, wordTime, 1)
