Choose backends without stale load reports, which drew waves of requests

A report is older than a request takes and every gateway hears about the same one, so all sent to the backend that last told the least, in turn: twice a second's log had one backend get 20 of 52 sends in a second and none in the next, reports of 12 to 15 at it, and backends out as silent that were only overrun. Cost now goes by this gateway's attempts out and the backend's slowness.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -521,13 +521,12 @@
 }
 
 // Probed takes in how a probe ended.
-func (g *Gateway) Probed(now Time, id uint32, r Result, load []float32) {
+func (g *Gateway) Probed(now Time, id uint32, r Result, _ []float32) {
 	g.begin(now)
 	b := g.byID[id]
 	switch {
 	case b == nil:
 	case r == OK:
-		g.loaded(b, load)
 		g.up(b)
 	case b.down:
 		b.silent = b.silent && r != ConnectFailed
@@ -566,13 +565,10 @@
 	return nil
 }
 
-// cost is how long a request may have to wait at a backend, compared with others.
+// cost is how long a request may have to wait at a backend, compared with others. Load reports
+// don't count: they are older than a request takes, and all gateways run after the same one.
 func (g *Gateway) cost(b *backend) float64 {
-	held := float64(b.out)
-	if g.now-b.queueAt < second {
-		held = math.Max(held, held/2+b.queue)
-	}
-	cost := (held + 1) * b.slowness(g.now)
+	cost := float64(b.out+1) * b.slowness(g.now)
 	if b.Zone != g.set.Zone {
 		cost *= 1 + g.set.CrossZonePrice*zoneWeight
 	}
@@ -857,7 +853,6 @@
 	if o.Result == OK || o.Result == Failed || o.Result == Full {
 		b.quiet = g.awake
 	}
-	g.loaded(b, o.Load)
 	g.judge(a, r.Class, o.Result, float64(o.Took))
 	// Trouble for one plan or class, met once in many seconds at any one backend: all are told, and
 	// prefer others till the word fades. It may hurt where one is avoided by all for too long.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1104,3 +1104,26 @@
 		t.Errorf("%q, want one line of counters with 4 sent and 2 refused for their quota", r.done)
 	}
 }
+
+func TestAStaleReportDrawsNoWave(t *testing.T) {
+	set := settings()
+	set.Report = []Metric{Busy}
+	r := newRig(t, set)
+	for range 4 {
+		id, _ := r.ask(0, 1, 1, 1)
+		b := r.requests[id].attempts[0].b.Backend
+		load := float32(9)
+		if b == 1 {
+			load = 0
+		}
+		r.Outcome(r.at, Outcome{ID: id, Backend: b, Result: OK, Took: second / 10, Over: true, Load: []float32{load}})
+	}
+	for range 4 {
+		r.ask(0, 1, 1, 1)
+	}
+	for _, b := range r.backends {
+		if b.out != 1 {
+			t.Errorf("backend %d holds %d of 4 requests for 4 backends", b.Backend, b.out)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -104,8 +104,6 @@
 	left    Time    // when it was last left out
 	wait    Time    // before the next trial
 	trialAt Time
-	queue   float64 // as reported
-	queueAt Time
 	breaks  fading   // connections that broke of late
 	words   []fading // of trouble, by class and then by plan
 	cold    bank     // what it may still be sent while cold
@@ -260,15 +258,6 @@
 	g.due[class] = due
 }
 
-// loaded takes in a load report.
-func (g *Gateway) loaded(b *backend, load []float32) {
-	for i, v := range load {
-		if i < len(g.set.Report) && g.set.Report[i] != Unused {
-			b.queue, b.queueAt = float64(v), g.now
-		}
-	}
-}
-
 // tellGrant adds a customer's grant to the next note to a peer, sent at once if full.
 func (g *Gateway) tellGrant(peer int, c *customer) {
 	if len(g.notes[peer])+grantSize > noteMost {
