Pass the true units of a backend's answer to the module

Where units are settled afterwards the first good answer carries cost=N. The network code read the value and the load report and dropped the figures on use between them, so every bank went by guesses and the gateways sent on beyond the quotas.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -363,7 +363,7 @@
 		}
 		return
 	}
-	result, value, load, fine := classify(e.reply, a.r == nil)
+	result, value, use, load, fine := classify(e.reply, a.r == nil)
 	if e.spoilt && value == nil {
 		result = decide.Failed
 	}
@@ -374,7 +374,7 @@
 		l.backends.close(c)
 		l.backends.connect(l, c.b)
 	}
-	l.finishWith(a, result, value, l.report(load))
+	l.finishWith(a, result, answerParts{value, l.units(use), l.report(load)})
 	if !c.closed {
 		l.backends.free(l, c)
 	}
@@ -383,23 +383,43 @@
 // classify tells what an answer means, and whether it is in the form agreed on:
 // an array with the value first, or an error. What follows the value, such as a
 // load report that can't be read, does not spoil it.
-func classify(re resp.Reply, probe bool) (result decide.Result, value []byte, load string, fine bool) {
+func classify(re resp.Reply, probe bool) (result decide.Result, value []byte, use, load string, fine bool) {
 	switch {
 	case re.Kind == '-':
 		word, rest, _ := strings.Cut(string(re.Text), " ")
 		if word == "BUSY" {
-			return decide.Full, nil, rest, true
+			return decide.Full, nil, "", rest, true
 		}
-		return decide.Failed, nil, rest[strings.LastIndexByte(rest, ' ')+1:], true
+		return decide.Failed, nil, "", rest[strings.LastIndexByte(rest, ' ')+1:], true
 	case probe:
-		return decide.OK, nil, string(re.Text), re.Kind == '+' || re.Kind == '$'
+		return decide.OK, nil, "", string(re.Text), re.Kind == '+' || re.Kind == '$'
 	case re.Kind == '*' && len(re.Items) > 0 && re.Items[0].Kind == '$' && !re.Items[0].Null:
+		if len(re.Items) > 1 {
+			use = string(re.Items[1].Text)
+		}
 		if len(re.Items) > 2 {
 			load = string(re.Items[2].Text)
 		}
-		return decide.OK, re.Items[0].Text, load, true
+		return decide.OK, re.Items[0].Text, use, load, true
+	}
+	return decide.Failed, nil, "", "", false // no value: it may have run
+}
+
+// units reads the true units from the figures on use, such as "used=37,cost=4"; 0 if they
+// are not told. What no request can take must not reach a customer's bank.
+func (l *Loop) units(use string) float64 {
+	if !l.cfg.Settings.Settles {
+		return 0
+	}
+	for pair := range strings.SplitSeq(use, ",") {
+		if name, value, _ := strings.Cut(pair, "="); name == "cost" {
+			if units, err := strconv.ParseFloat(value, 64); err == nil && units > 0 && units <= l.cfg.mostUnits() {
+				return units
+			}
+			return 0
+		}
 	}
-	return decide.Failed, nil, "", false // no value: it may have run
+	return 0
 }
 
 // report reads a load report, in the order of the settings; nil if it is none.
@@ -450,17 +470,17 @@
 
 // finish ends an attempt: the first call counts, and brings its one outcome.
 func (l *Loop) finish(a *attempt, result decide.Result, value []byte) {
-	l.finishWith(a, result, value, nil)
+	l.finishWith(a, result, answerParts{value: value})
 }
 
-func (l *Loop) finishWith(a *attempt, result decide.Result, value []byte, load []float32) {
+func (l *Loop) finishWith(a *attempt, result decide.Result, answer answerParts) {
 	if a.ended {
 		return
 	}
 	a.ended = true
 	l.cancel(a.giveUp)
 	a.giveUp, a.conn = nil, nil
-	l.later(outcome{a, result, value, load, l.now() - a.sent})
+	l.later(outcome{a, result, answer, l.now() - a.sent})
 }
 
 // members takes in discovery's list or its changes.
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -128,11 +128,7 @@
 	case unitsField:
 		units, err := strconv.ParseFloat(value, 64)
 		c.what.Units = units
-		most := cfg.Host.MaxUnits
-		if most <= 0 {
-			most = mostUnits
-		}
-		ok = err == nil && units > 0 && units <= most // which NaN is not
+		ok = err == nil && units > 0 && units <= cfg.mostUnits() // which NaN is not
 	case spreadField:
 		n, err := strconv.Atoi(value)
 		c.what.Spread = n
@@ -148,6 +144,14 @@
 	return nil
 }
 
+// mostUnits is the most that a request may take.
+func (cfg *Config) mostUnits() float64 {
+	if cfg.Host.MaxUnits > 0 {
+		return cfg.Host.MaxUnits
+	}
+	return mostUnits
+}
+
 func hex16(b []byte) (uint64, bool) {
 	n, err := strconv.ParseUint(string(b), 16, 64)
 	return n, err == nil && len(b) == 16
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -183,6 +183,33 @@
 	}
 }
 
+// Where units are settled afterwards the true ones of the answer count, not the guess;
+// figures that no request can have count for nothing.
+func TestTrueUnitsOfTheAnswerCount(t *testing.T) {
+	for figures, sent := range map[string]bool{"used=3,cost=1": false, "cost=0.25": true, "cost=NaN": true, "cost=9": true} {
+		r, b, _ := oneBackend(t, func(f map[string]any) {
+			text := strings.Replace(settingsText, `"settles":false`, `"settles":true,"max-units":8`, 1)
+			f["settings"] = json.RawMessage(text)
+		})
+		c := r.client(t)
+		ask := func(id int) {
+			c.send("API.READ", "0000000000000009", fmt.Sprintf("%016x", id), "c=lookup,t=tiny,d=86400000,units=0.5,spread=1,first=0")
+		}
+		ask(1) // the bank holds 1 unit
+		b.next(t).answer(t, fmt.Sprintf("*3\r\n$2\r\nok\r\n$%d\r\n%s\r\n$-1\r\n", len(figures), figures))
+		c.value("ok")
+		ask(2)
+		if !sent {
+			if got := c.line(); got != "-BUSY 2000" {
+				t.Errorf("%s: answer %q", figures, got)
+			}
+			continue
+		}
+		b.next(t).serve(t, "more")
+		c.value("more")
+	}
+}
+
 // Bad input is answered once and reaches no backend.
 func TestBadInput(t *testing.T) {
 	r, b, _ := oneBackend(t, func(f map[string]any) {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -90,13 +90,19 @@
 	l.module.Gone(l.now(), b.r.id)
 }
 
+// answerParts is what a backend's answer holds.
+type answerParts struct {
+	value []byte
+	units float64   // the true ones; 0: not told
+	load  []float32 // nil: no report
+}
+
 // outcome ends an attempt: exactly one for each Send.
 type outcome struct {
 	a      *attempt
 	result decide.Result
-	value  []byte
-	load   []float32
-	took   decide.Time
+	answerParts
+	took decide.Time
 }
 
 func (o outcome) handle(l *Loop) {
@@ -111,7 +117,7 @@
 	}
 	l.module.Outcome(l.now(), decide.Outcome{
 		ID: r.id, Attempt: o.a.number, Backend: o.a.backend, Result: o.result,
-		Took: o.took, Over: r.answered, Load: o.load,
+		Took: o.took, Over: r.answered, TrueUnits: o.units, Load: o.load,
 	})
 	l.forget(r)
 }
