Trace one request that ended badly every five seconds, by its id

The log told nothing of a single request. Now one of those refused or failed is traced at most every five seconds: its attempts with when they began and how they ended, the answer, and the time from its last byte to it. The counters of the module tell the reasons of all.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -289,7 +289,7 @@
 	l.requests[r.id], l.names[r.name] = r, r
 	l.held += size(r.args)
 	spare := min(margin, what.Grace/4)
-	r.deadline = at + what.Grace - spare
+	r.read, r.deadline = at, at+what.Grace-spare
 	r.backstop = l.at(r.deadline+spare/2, backstop{r})
 	what.ID, what.Grace = r.id, max(0, r.deadline-now)
 	l.module.Request(now, what)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -590,3 +592,27 @@
 		}
 	}
 }
+
+// Of the requests that end badly one now and then is traced by its id, not each.
+func TestTraceOfARequestThatEndedBadly(t *testing.T) {
+	b := newBackend(t)
+	d := newFakeDiscovery(t, b.entry("s-1", "Ready"))
+	cfg := configure(t, d, nil)
+	var log bytes.Buffer
+	l, err := newLoop(cfg, slog.New(slog.NewTextHandler(&log, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.clients.listener.Close() })
+	for id := range 2 {
+		r := &request{id: uint64(id + 1), client: &client{}, args: [][]byte{nil, []byte("7"), fmt.Appendf(nil, "id-%d", id), nil}}
+		l.requests[r.id] = r
+		r.out = 2
+		outcome{a: &attempt{r: r, backend: 5}, result: decide.Reset}.handle(l)
+		l.Fail(r.id)
+	}
+	if text := log.String(); strings.Count(text, "msg=trace") != 1 || !strings.Contains(text, "id=id-0") ||
+		!strings.Contains(text, "to 5 at") {
+		t.Errorf("log %q, want the trace of the first of two failed requests", text)
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -67,6 +67,7 @@
 	counter   *counter
 	discovery *discovery
 	drain     drain
+	traceAt   decide.Time // when a request that ends badly may be traced again
 	accepting bool
 	done      bool
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 
 	"mothcleat/decide"
 	"mothcleat/internal/resp"
@@ -21,6 +23,8 @@
 	reply    []byte // waits in the client's line for its turn
 	name     uint64 // the id that the client gave
 	backstop *timer
+	read     decide.Time // when its last byte was read
+	ends     []outcome   // of its attempts
 }
 
 // The answers that are the gateway's own.
@@ -43,6 +47,9 @@
 	if r.answered {
 		return
 	}
+	if l.now() >= l.traceAt && reply[0] == '-' {
+		l.trace(r, reply)
+	}
 	r.reply = reply
 	l.held += len(reply)
 	l.close(r)
@@ -50,6 +57,27 @@
 	l.forget(r)
 }
 
+// traceEvery is the time between two requests that are traced in the log.
+const traceEvery = 5_000_000
+
+// trace logs one request that ended badly, from its last byte to its answer. Only one
+// now and then: a line for each would cost more than the request.
+func (l *Loop) trace(r *request, reply []byte) {
+	if r.id == 0 {
+		return // not even taken
+	}
+	now := l.now()
+	l.traceAt = now + traceEvery
+	var ends strings.Builder
+	for _, o := range r.ends {
+		fmt.Fprintf(&ends, " #%d to %d at %d us: result %d after %d us;", o.a.number, o.a.backend,
+			o.a.sent-r.read, o.result, o.took)
+	}
+	l.log.Info("trace", "id", string(r.args[2]), "customer", string(r.args[1]), "fields", string(r.args[3]),
+		"attempts", r.attempts, "ends", ends.String(), "answer", string(bytes.TrimSpace(reply)),
+		"after_us", now-r.read, "left_us", r.deadline-now, "open", l.open)
+}
+
 // close takes note that a request has its final answer, or needs none any more.
 func (l *Loop) close(r *request) {
 	r.answered = true
@@ -112,6 +140,7 @@
 		return
 	}
 	r.out--
+	r.ends = append(r.ends, o)
 	if o.result == decide.OK && !r.answered {
 		l.answer(r, resp.AppendBulk(make([]byte, 0, len(o.value)+16), o.value))
 	}
