--- a/decide/decide.go
+++ b/decide/decide.go
@@ -683,7 +683,8 @@
 func (g *Gateway) thin() float64 { return enough / (enough + g.inTime.get(g.awake, second)) }
 
 // full tells whether so large a part of the room at the back end is filled: as many attempts
-// as come back within their aim in the time an answer may take.
+// as come back within their aim in the time an answer may take. What backends may always hold
+// is open whole to each: a part of it would refuse cheap requests while backends idle.
 func (g *Gateway) full(part float64) bool {
 	g.sweepOverdue()
 	// A loaded back end stretches all classes alike: the tightest sets the time.
@@ -698,8 +699,8 @@
 	}
 	held, inTime, n := g.view()
 	least := (leastOut - (leastOut-leastLate)*g.late.v) * float64(g.alive) / float64(g.set.Gateways) * n
-	room := math.Max(least, inTime*allowed/float64(second)*aimShare)
-	return held >= room*part || g.held() >= leastOwn+ownMost*room/n*part
+	room := math.Max(least, inTime*allowed/float64(second)*aimShare*part)
+	return held >= room || g.held() >= leastOwn+ownMost*room/n
 }
 
 // Request decides on a client's try.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1127,3 +1127,21 @@
 		}
 	}
 }
+
+func TestTheLeastRoomIsOpenToCheapRequests(t *testing.T) {
+	r := newRig(t, settings())
+	r.set.Plans[0].Burst, r.set.Plans[0].Rate = 100, 100
+	for range 10 {
+		r.serve(0, 0, 1, 8)
+	}
+	r.at += 10 * second // nothing is held, and no answer is recent
+	least := int(leastOut * 4 / 2)
+	for i := range least {
+		if _, sent := r.ask(0, 0, 2, 1); !sent {
+			t.Fatalf("cheap request %d of the %d that 4 backends may always hold was refused", i, least)
+		}
+	}
+	if _, sent := r.ask(0, 0, 2, 1); sent {
+		t.Errorf("one more than %d was sent though no answer tells of more room", least)
+	}
+}
