Have ceiling slices follow demand by half while the whole set is heard

A ceiling was cut evenly whatever the demand: of 150 a second at most 37 could go through one of four gateways, below the quota of 60, so an enterprise customer whose requests came mostly to one gateway was refused inside its quota. Half the cut now follows demand, only while every other of the set was heard in the last half second; else, as after a restart or a crash, the even cut holds as before.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -32,6 +32,7 @@
 	reserve    = 0.75        // the part of the burst that a home keeps for chance in what its set sends
 	askRate    = 0.4         // the part of the notes a receiver takes in that asks for one customer may be
 	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
+	ceilEven   = 0.5         // the part of a ceiling cut evenly: demand may move faster than notes
 	sliceMost  = 2.0         // how many requests' worth a slice under a grant saves up
 	hearIn     = 2           // note periods until what a peer takes now is heard
 	settleIn   = 4           // note periods until a new gateway has been told of all banks
@@ -81,11 +82,6 @@
 	return g, nil
 }
 
-// mailTime is the time in which a gateway can take in notes from so many others.
-func (g *Gateway) mailTime(senders int) Time {
-	return Time(float64(senders) / (mailShare * math.Max(g.set.MailPerSecond, 1)) * float64(second))
-}
-
 // begin brings the gateway to an event's time.
 func (g *Gateway) begin(now Time) {
 	g.now = max(g.now, now)
@@ -143,14 +139,19 @@
 	return c
 }
 
-// refill fills a customer's banks; what its full bank spills here feeds bank 0.
+// refill fills a customer's banks; what its full bank spills here feeds bank 0. The part of the
+// ceiling follows demand as the bank does, but only half of it and while the whole set is heard:
+// an even slice alone refuses within the quota where most of the demand comes here.
 func (g *Gateway) refill(c *customer) {
-	part := g.part(c)
+	part, ceil, p := g.part(c), 1/float64(c.spread), &g.set.Plans[c.plan]
+	if p.CeilingRate > 0 && g.hearsAll(c) {
+		ceil = ceilEven*ceil + (1-ceilEven)*part
+	}
 	if !g.pooled {
-		p := &g.set.Plans[c.plan]
 		c.store.rate, c.store.cap = part*p.Rate, part*p.Burst
 		part = 1
 	}
+	c.ceiling.rate, c.ceiling.cap = ceil*p.CeilingRate, ceil*p.CeilingBurst
 	c.ceiling.refill(g.now)
 	g.lend.level = math.Min(g.lend.cap, g.lend.level+part*c.store.refill(g.now))
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1145,3 +1145,28 @@
 		t.Errorf("one more than %d was sent though no answer tells of more room", least)
 	}
 }
+
+// A ceiling cut evenly refuses within the quota where most of the demand comes to one gateway.
+func TestCeilingSlicesFollowDemandWhileTheSetIsHeard(t *testing.T) {
+	a, b := pair(t)
+	for range 3 {
+		a.serve(0, 2, 9, 1)
+	}
+	b.serve(0, 2, 9, 1)
+	tellAll(a, b)
+	tellAll(b, a)
+	ca, cb := a.customer(9, 2, 0, 2), b.customer(9, 2, 0, 2)
+	if ca.ceiling.rate <= 4.5 {
+		t.Errorf("ceiling rate %g of 8 with three quarters of the demand, want more than half", ca.ceiling.rate)
+	}
+	if sum := ca.ceiling.rate + cb.ceiling.rate; sum > 8.5 {
+		t.Errorf("ceiling rates add up to %g of 8", sum)
+	}
+	for range 30 {
+		a.at += second / 30
+		a.Timer(a.at, noteToken)
+	}
+	if a.refill(ca); ca.ceiling.rate != 4 {
+		t.Errorf("ceiling rate %g of 8 with the peer silent, want the even half", ca.ceiling.rate)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -208,6 +208,11 @@
 	return g
 }
 
+// mailTime is the time in which a gateway can take in notes from so many others.
+func (g *Gateway) mailTime(senders int) Time {
+	return Time(float64(senders) / (mailShare * math.Max(g.set.MailPerSecond, 1)) * float64(second))
+}
+
 // rouse sets the next timer.
 func (g *Gateway) rouse() {
 	g.timerAt = g.now + g.period
@@ -401,6 +406,17 @@
 		c.store.level >= c.store.cap && c.ceiling.level >= c.ceiling.cap
 }
 
+// hearsAll tells whether all others of the customer's set were heard within the last moment.
+func (g *Gateway) hearsAll(c *customer) bool {
+	for i := range c.spread {
+		peer := (c.first + i) % g.set.Gateways
+		if peer != g.set.Self && (g.boots[peer] == 0 || g.awake-g.heardAt[peer] > second/2) {
+			return false
+		}
+	}
+	return g.pooled && g.set.Peers && !g.wide(c)
+}
+
 // heardOf is what a gateway of the set told of a customer.
 func (g *Gateway) heardOf(c *customer, from int) *heard {
 	if c.heard == nil {
