Let a backend always hold one attempt for each of its four cores

The floor of the room was three attempts a backend, so with few recent answers a quarter of the fleet's cores had to idle.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -42,7 +42,7 @@
 	countLife  = 60 * second // how long a name on the counter lives, the longest allowed
 	sweepTime  = second      // how often idle banks are looked for
 	aimShare   = 0.35        // the mean time of answers, in aims, at which the back end is full: times spread
-	leastOut   = 3.0         // what a backend may always hold: a slow spell can't shut the gate for good
+	leastOut   = 4.0         // what a backend may always hold, one a core: a slow spell can't shut the gate
 	leastLate  = 1.0         // and what, of that, when every answer is late: what is overdriven must drain
 	enough     = 8.0         // answers a second that tell as much of the back end as all peers do
 	viewPeers  = 6           // to how many others, drawn each sweep, a gateway's view is told in any case
@@ -715,7 +715,7 @@
 	if g.now > g.woke {
 		grace.add(float64(q.Grace), learnOne)
 	} else if grace.v-float64(q.Grace)+g.base[q.Class].v > float64(g.set.Classes[q.Class].Aim) {
-		g.refuse(q.ID, tooLate, 0) // it came while this gateway stood still, and no answer is in time any more
+		g.refuse(q.ID, tooLate, 0) // it came while this gateway stood still: no answer is in time any more
 		return
 	}
 	plan := &g.set.Plans[q.Plan]
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1135,7 +1135,7 @@
 		r.serve(0, 0, 1, 8)
 	}
 	r.at += 10 * second // nothing is held, and no answer is recent
-	least := int(leastOut * 4 / 2)
+	least := 4 * 4 / 2  // one for each core of 4 backends, of which half are this gateway's
 	for i := range least {
 		if _, sent := r.ask(0, 0, 2, 1); !sent {
 			t.Fatalf("cheap request %d of the %d that 4 backends may always hold was refused", i, least)
