--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -353,12 +353,13 @@
 			// Its last byte was written, or may have been: it may have run. Where a
 			// connection was kept and proved dead when used, those that have been
 			// kept for longer are most likely dead too, though nothing shows it.
-			if idle := a.sent - c.since; kept && l.now()-a.sent < atOnce {
-				l.backends.keep.broke(l.now(), idle)
-			}
-			for kept && len(c.b.idle) > 0 && c.b.idle[0].since <= c.since {
+			idle := a.sent - c.since
+			for kept && len(c.b.idle) > 0 && c.b.idle[0].since <= c.since && l.backends.keep.blames(l.now(), idle) {
 				l.backends.close(c.b.idle[0])
 			}
+			if kept && l.now()-a.sent < atOnce {
+				l.backends.keep.broke(l.now(), idle)
+			}
 			l.finish(a, decide.Reset, nil)
 		}
 		return
@@ -368,6 +369,9 @@
 		result = decide.Failed
 	}
 	c.a = nil
+	if kept {
+		l.backends.keep.lived(l.now(), a.sent-c.since)
+	}
 	if !fine || e.spoilt || e.more {
 		// What comes next on this connection may belong to nothing. That tells
 		// only of it: the others to the backend go on.
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -10,6 +10,8 @@
 	learnt   decide.Time // 0: nothing
 	learntAt decide.Time
 	brokeAt  decide.Time // when a kept connection last proved dead
+	sound    decide.Time // how long the longest idle of those lately used had been, and was sound
+	soundAt  decide.Time // 0: none
 }
 
 const (
@@ -30,9 +32,26 @@
 	return min(most, k.longest)
 }
 
+// lived takes in that a connection that was idle for so long was sound when used.
+func (k *keep) lived(now, idle decide.Time) {
+	if idle >= k.sound || now-k.soundAt > keepHeals {
+		k.sound, k.soundAt = idle, now
+	}
+}
+
+// blames tells whether idling for so long can be why a connection is dead: not if
+// one idle for longer was sound of late. Something else breaks them then, and new
+// ones as well.
+func (k *keep) blames(now, idle decide.Time) bool {
+	return k.soundAt == 0 || now-k.soundAt > keepHeals || idle > k.sound
+}
+
 // broke takes in that a connection that was idle for so long was dead when used.
 // Once is chance.
 func (k *keep) broke(now, idle decide.Time) {
+	if !k.blames(now, idle) {
+		return
+	}
 	if k.brokeAt != 0 && now-k.brokeAt < keepHeals {
 		k.learnt, k.learntAt = max(keepLeast, min(k.most(now), idle/2)), now
 	}
--- a/internal/gateway/keep_test.go
+++ b/internal/gateway/keep_test.go
@@ -32,6 +32,33 @@
 	want(15_000_000)
 }
 
+// Resets that hit connections whatever their idling say nothing of it: the kept
+// ones stay trusted, or each request would pay for a handshake.
+func TestKeepBlamesIdlingOnlyIfNoneIdleForLongerWasSound(t *testing.T) {
+	k := keep{longest: 15_000_000}
+	now := decide.Time(1e9)
+	k.lived(now, 500_000)
+	k.lived(now, 1000)
+	for range 3 {
+		now += 100_000
+		k.broke(now, 400_000)
+	}
+	if got := k.most(now); got != 15_000_000 {
+		t.Errorf("trusted for %d after resets of connections idle for less than a sound one", got)
+	}
+	for range 2 {
+		now += 100_000
+		k.broke(now, 600_000)
+	}
+	if got := k.most(now); got != 300_000 {
+		t.Errorf("trusted for %d after two resets of longer idle ones, want half of their idling", got)
+	}
+	now += 2*keepHeals + 1
+	if !k.blames(now, 400_000) {
+		t.Error("a sound connection of long ago still clears those that break")
+	}
+}
+
 // A dial that is reset is made once more before the backend is held for dead:
 // nothing was sent, and something listens there.
 func TestResetDialIsMadeOnceMore(t *testing.T) {
