--- a/decide/api.go
+++ b/decide/api.go
@@ -79,7 +79,8 @@
 // Metric is a value that backends report of their load.
 type Metric uint8
 
-// The metrics that decisions use; a report's other values are Unused.
+// The metrics that are told apart; a report's other values are Unused. No decision rests on
+// them now: a report is older than a request takes.
 const (
 	Unused Metric = iota
 	Busy
--- a/internal/wire/codes.go
+++ b/internal/wire/codes.go
@@ -60,5 +60,5 @@
 	"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell,
 }
 
-// metrics are the report values that decisions use; others are passed over.
+// metrics are the report values that are told apart; others are passed over.
 var metrics = map[string]decide.Metric{"busy_reqs": decide.Busy, "pending": decide.Waiting}
