Bound the level by an even slice in the first moment, not the store that all share

A gateway that began took all but an even slice off a new customer's store, though with peers that store stands for the whole: with all begun together it told them of the same, a slice of it was a slice of a slice, and the burst was lost until it had refilled. The slice now bounds what it gives out till its peers can have been heard.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -112,7 +112,7 @@
 func (p *Plan) soft() bool { return p.BeyondEarns > p.BeyondCosts }
 
 // customer finds or makes the record of a customer, refilled up to now. A new
-// one is full: peers tell of those that are not; until they can have been heard it is
+// one is full: peers tell of those that are not; until they can have been heard its level is
 // an even slice, so that a restart hands out no second burst. Its part of the ceiling
 // counts from this gateway's start, with half the slack: a former life may have the rest.
 func (g *Gateway) customer(id uint64, plan, first, spread int) *customer {
@@ -128,7 +128,7 @@
 		if p.Rate > 0 {
 			c.window = max(Time(useWindow*p.Burst/p.Rate*float64(second)), g.mailTime(spread))
 		}
-		if !g.pooled || !g.wide(c) && g.now-g.born < min(second/2, settleIn*g.period) {
+		if !g.pooled {
 			c.store.level /= even
 		}
 		g.idleSpill[plan] = math.Max(0, g.idleSpill[plan]-p.Rate/even)
@@ -139,9 +139,8 @@
 	return c
 }
 
-// refill fills a customer's banks; what its full bank spills here feeds bank 0. The part of the
-// ceiling follows demand as the bank does, but only half of it and while the whole set is heard:
-// an even slice alone refuses within the quota where most of the demand comes here.
+// refill fills a customer's banks; what its full bank spills here feeds bank 0. While its set is
+// heard half its part of the ceiling follows demand: an even slice refuses within the quota.
 func (g *Gateway) refill(c *customer) {
 	part, ceil, p := g.part(c), 1/float64(c.spread), &g.set.Plans[c.plan]
 	if p.CeilingRate > 0 && g.hearsAll(c) {
@@ -206,7 +205,11 @@
 	}
 	untold := c.taken - c.told
 	soon := c.others.get(g.now, c.window) * float64(hearIn*g.period) / float64(c.window)
-	return math.Max(g.part(c)*(c.store.level+untold)-untold, c.store.level-soon)
+	level := math.Max(g.part(c)*(c.store.level+untold)-untold, c.store.level-soon)
+	if g.unsettled() {
+		level = math.Min(level, c.store.cap/float64(c.spread)-c.taken)
+	}
+	return level
 }
 
 // inside tells whether the customer's own bank and its part of the open limit have room.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1170,3 +1170,25 @@
 		t.Errorf("ceiling rate %g of 8 with the peer silent, want the even half", ca.ceiling.rate)
 	}
 }
+
+// The even slice of the first moment must not stand for what the whole store holds: a burst
+// of all that begin together would be lost until the store has refilled.
+func TestFirstMomentTakesNothingOffTheStore(t *testing.T) {
+	r := &rig{fake: &fake{}, t: t, at: start}
+	var err error
+	if r.Gateway, err = New(settings(), 7, r.fake); err != nil {
+		t.Fatal(err)
+	}
+	r.Members(start, Cached, members(4))
+	for i := range 3 {
+		if sent := r.serve(0, 0, 9, 2); sent != (i < 2) {
+			t.Fatalf("try %d of 2 units: sent %t, want the even slice of 4 in the first moment", i, sent)
+		}
+	}
+	r.at += second
+	for i := range 2 {
+		if !r.serve(0, 0, 9, 2) {
+			t.Fatalf("try %d was refused later, though the store of 8 holds 4 and more", i)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -225,6 +225,9 @@
 	return g.set.Peers && from != to && (to-from+n)%n <= fewPeers
 }
 
+// unsettled tells whether this gateway began so lately that its peers can't have told it of all banks.
+func (g *Gateway) unsettled() bool { return g.now-g.born < min(second/2, settleIn*g.period) }
+
 // member tells whether this gateway knows of a customer's use only by its home.
 func (g *Gateway) member(c *customer) bool { return g.wide(c) && g.home(c) != g.set.Self }
 
