Take in notes that give units back instead of dropping them as late

Where units are settled a request may have taken less than its guess, and the total that a gateway tells falls. Peers took a lower total for an older note and dropped it, and all that was taken after it till the total had risen again. Each note now has a turn, two bytes, by which a late one is told; a newer one with less gives the units back. The version of notes goes up, so gateways of both builds pass over each other's.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -108,9 +108,6 @@
 	g.greet()
 }
 
-// soft tells whether use beyond the quota earns more than it costs.
-func (p *Plan) soft() bool { return p.BeyondEarns > p.BeyondCosts }
-
 // customer finds or makes the record of a customer, refilled up to now. A new
 // one is full: peers tell of those that are not; until they can have been heard its level is
 // an even slice, so that a restart hands out no second burst. Its part of the ceiling
@@ -356,6 +353,7 @@
 		return
 	}
 	g.pool(from, n)
+	newer := g.newer(from, n)
 	if g.boots[from] != n.boot {
 		// A gateway that has just started knows of no bank: tell it of those not full.
 		g.boots[from] = n.boot
@@ -367,7 +365,7 @@
 	}
 	for _, e := range n.entries {
 		if e.plan < len(g.set.Plans) && e.spread > 0 && e.spread <= g.set.Gateways {
-			g.told(from, n.boot, e)
+			g.told(from, n.boot, newer, e)
 		}
 	}
 	for _, w := range n.words {
@@ -387,7 +385,7 @@
 	}
 }
 
-func (g *Gateway) told(from int, boot uint32, e entry) {
+func (g *Gateway) told(from int, boot uint32, newer bool, e entry) {
 	c := g.customer(e.id, e.plan, e.first, e.spread)
 	if !g.in(c, from) || g.member(c) {
 		return
@@ -403,13 +401,13 @@
 		}
 		c.store.level = math.Max(0, math.Min(c.store.level, left))
 		c.others.add(g.now, c.window, units(e.fresh))
-	case asked > math.MaxUint16/2 || taken > math.MaxUint16/2 && e.want == 0:
+	case asked > math.MaxUint16/2 || taken > math.MaxUint16/2 && e.want == 0 && (g.wide(c) || !newer):
 		return // an older note that came late
 	default:
-		if taken > math.MaxUint16/2 {
+		if taken > math.MaxUint16/2 && g.wide(c) {
 			taken, e.taken = 0, h.taken // it did not take what it was granted
 		}
-		c.store.level = math.Max(0, c.store.level-units(taken))
+		c.store.level = math.Max(0, c.store.level-float64(int16(taken))/eighths) // or gave units back
 		c.others.add(g.now, c.window, units(asked))
 	}
 	*h = heard{known: true, boot: boot, taken: e.taken, asked: e.asked}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1192,3 +1192,16 @@
 		}
 	}
 }
+
+// Where units are settled less may have been taken than was told: a newer note gives them
+// back at once, though nothing more was asked; only an older one is late.
+func TestUnitsGivenBackAreTold(t *testing.T) {
+	a, b := pair(t)
+	a.set.Settles = true
+	id, _ := a.ask(0, 1, 9, 8)
+	tellAll(a, b)
+	level := b.customers[9].store.level
+	a.Outcome(a.at, Outcome{ID: id, Backend: a.requests[id].attempts[0].b.Backend, Result: OK, Took: 1, Over: true, TrueUnits: 4})
+	tellAll(a, b)
+	near(t, "level after 4 of 8 units were given back and 1 came", b.customers[9].store.level, level+4+1)
+}
--- a/decide/note.go
+++ b/decide/note.go
@@ -8,11 +8,12 @@
 // A note is a version, the sender's boot, its view of the back end, and items,
 // each of which begins with its kind.
 const (
-	noteVersion = 2
+	noteVersion = 3
 	headSize    = 9
 	entrySize   = 19
 	grantSize   = 9
 	wordSize    = 6
+	turnSize    = 2
 	wordsMost   = 3 // a note's words of trouble, the latest
 	noteMost    = 256
 	eighths     = 8.0 // units are told in eighths, a total of them wraps
@@ -22,6 +23,7 @@
 	entryItem = iota
 	grantItem
 	wordItem
+	turnItem
 )
 
 // entry is what a note tells of one customer.
@@ -59,6 +61,7 @@
 	entries      []entry
 	grants       []grant
 	words        []word
+	turn         byte // the sender's count of its notes, round; 0: not told
 }
 
 func counted(units float64) uint16 { return uint16(int64(units * eighths)) }
@@ -125,6 +128,9 @@
 		case b[0] == wordItem && len(b) >= wordSize:
 			n.words = append(n.words, word{binary.LittleEndian.Uint32(b[1:]), b[5]})
 			b = b[wordSize:]
+		case b[0] == turnItem && len(b) >= turnSize:
+			n.turn = b[1]
+			b = b[turnSize:]
 		default:
 			return n, false
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -65,6 +65,8 @@
 	heardAt []Time
 	telling []*customer
 	notes   [][]byte
+	turn    byte   // of the last note, counted round; never 0
+	turns   []byte // of the newest note of each gateway
 
 	backends []*backend
 	byID     map[uint32]*backend
@@ -144,6 +146,9 @@
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.pending })
 }
 
+// soft tells whether use beyond the quota earns more than it costs.
+func (p *Plan) soft() bool { return p.BeyondEarns > p.BeyondCosts }
+
 // in tells whether a gateway is of the customer's set.
 func (g *Gateway) in(c *customer, gateway int) bool {
 	n := g.set.Gateways
@@ -189,7 +194,7 @@
 		set: set, do: do, rand: rand.New(rand.NewPCG(seed, seed>>32)), boot: uint32(seed>>32) ^ uint32(seed),
 		idleSpill: make([]float64, len(set.Plans)), customers: map[uint64]*customer{},
 		boots: make([]uint32, set.Gateways), heardAt: make([]Time, set.Gateways),
-		notes: make([][]byte, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
+		notes: make([][]byte, set.Gateways), turns: make([]byte, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
 		byID: map[uint32]*backend{}, requests: map[uint64]*request{},
 		base: make([]mean, len(set.Classes)), due: make([][]*attempt, len(set.Classes)),
 	}
@@ -242,7 +247,8 @@
 // noteHead begins a note: which life of this gateway, and its view of the back end.
 func (g *Gateway) noteHead() []byte {
 	held, inTime, n := g.view()
-	note := noteHead(g.boot, held/n, inTime/n)
+	g.turn = max(1, g.turn+1)
+	note := append(noteHead(g.boot, held/n, inTime/n), turnItem, g.turn)
 	kept := g.news[:0]
 	for _, w := range g.news {
 		note = w.put(note)
@@ -324,6 +330,15 @@
 	return true
 }
 
+// newer tells whether a note is the newest of its sender yet, and keeps its turn if so.
+func (g *Gateway) newer(from int, n note) bool {
+	if n.turn == 0 || g.turns[from] != 0 && g.boots[from] == n.boot && n.turn-g.turns[from]-1 >= math.MaxInt8 {
+		return false
+	}
+	g.turns[from] = n.turn
+	return true
+}
+
 // greet has the neighbours know that this gateway knows nothing.
 func (g *Gateway) greet() {
 	for peer := range g.notes {
