Have wide sets ask several homes, each with an even part of quota and ceiling

Large plans were refused for ceilings cut evenly: 118 units over 60 gateways never hold a request. And sets of 5 to 8 told all others each request twice over.

Now (homes.go): a quota is cut over as many homes as its asks need, each with two of the largest requests; all of the set draw the home for each request, homes too; a silent one is asked no more for a second, another is asked instead. The homes hold the ceiling as well. fewPeers 8 -> 4.

--- a/decide/api.go
+++ b/decide/api.go
@@ -104,6 +104,7 @@
 
 	MeterPeriod   Time // 0: no meter
 	MailPerSecond float64
+	MaxUnits      float64 // of one request; 0: not told
 	MaxAttempts   int
 	MaxRetryAfter Time
 	Tick          Time // least time between two events
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,14 +25,15 @@
 const (
 	useWindow  = 0.5         // the demand window, as a part of the time in which a burst refills
 	mailShare  = 0.5         // the part of a receiver's message limit that notes may fill
-	fewPeers   = 8           // up to so many gateways tell one another all; a larger set tells its home
+	fewPeers   = 4           // up to so many gateways tell one another all; beyond that asking costs less mail
 	grantStep  = 1.25        // by what factor a grant must move to be told to the whole set
 	grantLeast = 0.01        // the least grant: no customer is shut out for good
 	grantError = 0.1         // by what part a member's grant may be off before its home answers
 	reserve    = 0.75        // the part of the burst that a home keeps for chance in what its set sends
-	askRate    = 0.4         // the part of the notes a receiver takes in that asks for one customer may be
+	askRate    = 1.0         // the part of the notes meant for notes that asks to one home may be, of a unit each
 	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
 	ceilEven   = 0.5         // the part of a ceiling cut evenly: demand may move faster than notes
+	homeRate   = 0.4         // the part of them from which on the asks are cut over several homes
 	sliceMost  = 2.0         // how many requests' worth a slice under a grant saves up
 	hearIn     = 2           // note periods until what a peer takes now is heard
 	settleIn   = 4           // note periods until a new gateway has been told of all banks
@@ -119,8 +120,12 @@
 		c = &customer{id: id, plan: plan, first: first, spread: spread, window: g.windowOf(p, spread),
 			store: bank{p.Burst, p.Rate, p.Burst, g.now}, grant: 1, granted: 1,
 			ceiling: bank{p.CeilingSlack / even / 2, p.CeilingRate / even, p.CeilingBurst / even, g.born}}
-		if !g.pooled {
+		switch {
+		case !g.pooled:
 			c.store.level /= even
+		case g.keeps(c):
+			c.store.level /= float64(g.homes(c))
+			c.ceiling.level *= even / float64(g.homes(c))
 		}
 		g.idleSpill[plan] = math.Max(0, g.idleSpill[plan]-p.Rate/even)
 		g.customers[id] = c
@@ -137,9 +142,15 @@
 	if p.CeilingRate > 0 && g.hearsAll(c) {
 		ceil = ceilEven*ceil + (1-ceilEven)*part
 	}
-	if !g.pooled {
+	switch {
+	case !g.pooled:
 		c.store.rate, c.store.cap = part*p.Rate, part*p.Burst
 		part = 1
+	case g.keeps(c): // the homes hold all of the ceiling, as all ask them
+		ceil = 1 / float64(g.homes(c))
+		c.store.rate, c.store.cap = ceil*p.Rate, ceil*p.Burst
+	case g.member(c) && g.consults(c):
+		ceil = 0
 	}
 	c.ceiling.rate, c.ceiling.cap = ceil*p.CeilingRate, ceil*p.CeilingBurst
 	c.ceiling.refill(g.now)
@@ -212,55 +223,16 @@
 	return p.Rate == 0 || g.level(c) >= units
 }
 
-func (g *Gateway) take(c *customer, units float64) {
-	c.store.level -= units
+func (g *Gateway) take(c *customer, home int, units float64) {
+	c.with(home).taken += units
+	if !g.consults(c) || g.home(c, home) == g.set.Self {
+		c.store.level -= units
+	}
 	c.slice = math.Max(0, c.slice-units)
 	c.taken += units
 	g.mark(c)
 }
 
-// consults tells whether a wide set asks its home before it decides: its quota is so small
-// that no slice holds a request, and the home can take in the asks.
-func (g *Gateway) consults(c *customer) bool {
-	return g.set.Plans[c.plan].Rate*float64(g.mailTime(1)) < askRate*float64(second)
-}
-
-// consult asks the home for a request's units and keeps the request till it answers.
-func (g *Gateway) consult(r *request) {
-	c := r.c
-	c.asks++
-	r.ask, r.by = max(1, c.asks), g.now+min(Time(askWait*float64(g.shortAim)), r.Grace/2)
-	e := g.entry(c)
-	e.want, e.ask = byte(min(math.MaxUint8, math.Ceil(2*r.Units))), r.ask
-	c.askedTold = c.asked
-	g.do.Tell(g.home(c), e.put(g.noteHead()))
-	g.do.SetTimer(r.by, askToken)
-	g.requests[r.ID] = r
-	g.waiting = append(g.waiting, r)
-}
-
-// answered decides on what waits for a home's answer: this one, or all overdue ones,
-// which the slice under the home's last grant then decides.
-func (g *Gateway) answered(c *customer, a grant) {
-	kept := g.waiting[:0]
-	for _, r := range g.waiting {
-		switch due := r.c == c && r.ask == a.ask; {
-		case g.requests[r.ID] != r: // the client has left
-		case due || g.now >= r.by:
-			delete(g.requests, r.ID)
-			if !due {
-				r.c.slice = math.Min(r.c.slice+r.c.grant*r.Units, sliceMost*r.Units)
-			} else if a.yes {
-				r.c.slice += r.Units // to be taken at once
-			}
-			g.admit(r, due && a.yes || !due && g.inside(r.c, r.Units))
-		default:
-			kept = append(kept, r)
-		}
-	}
-	g.waiting = kept
-}
-
 // ask counts what a customer asks for. Under a grant each ask brings its part of the units
 // to the slice: a demand-following rate for a gateway that sees a customer now and then.
 func (g *Gateway) ask(c *customer, units float64) {
@@ -282,7 +254,7 @@
 		return
 	}
 	all := c.use.get(g.now, c.window) + c.others.get(g.now, c.window)
-	may := rate*float64(c.window)/float64(second) + c.store.level - reserve*c.store.cap
+	may := c.store.rate*float64(c.window)/float64(second) + c.store.level - reserve*c.store.cap
 	f := math.Min(1, math.Max(grantLeast, may/math.Max(all, 1e-9)))
 	moved := f > c.granted*grantStep || f < c.granted/grantStep || f == 1 && c.granted < 1
 	if c.grant = f; !moved || g.now < c.grantAt || g.consults(c) {
@@ -368,13 +340,18 @@
 		}
 	}
 	for _, r := range n.grants {
-		if c := g.customers[r.id]; c != nil && g.member(c) {
+		c := g.customers[r.id]
+		if c == nil || !g.wide(c) {
+			continue
+		}
+		if g.member(c) {
 			if c.grant == 1 && r.part < 1 {
 				c.slice = g.rand.Float64() * c.lastAsk // so that not all are short or full at once
 			}
-			if c.grant = r.part; r.ask > 0 {
-				g.answered(c, r)
-			}
+			c.grant = r.part
+		}
+		if r.ask > 0 {
+			g.answered(c, r)
 		}
 	}
 }
@@ -408,8 +385,12 @@
 	g.settleGrant(c)
 	if a := (grant{id: c.id, part: c.grant, ask: e.ask}); e.ask > 0 {
 		want := float64(e.want) / 2
-		if a.yes = c.store.level >= want; a.yes {
+		ceiling := g.set.Plans[c.plan].CeilingRate > 0 && g.consults(c)
+		if a.yes = c.store.level >= want && (!ceiling || c.ceiling.level >= want); a.yes {
 			c.store.level -= want
+			if ceiling {
+				c.ceiling.level -= want
+			}
 			h.taken += counted(want)
 		}
 		g.do.Tell(from, a.put(g.noteHead()))
@@ -723,15 +704,16 @@
 	r := &request{Request: q, until: now + q.Grace, c: c}
 	if g.full(g.open(&q, plan)) {
 		g.refuse(q.ID, noRoom, g.shortAim/2)
-	} else if g.member(c) && g.consults(c) {
+	} else if r.home = g.homeToAsk(r); g.consults(c) && g.home(c, r.home) != g.set.Self {
 		g.consult(r)
 	} else {
-		g.admit(r, g.inside(c, q.Units))
+		g.admit(r, g.inside(c, q.Units), false)
 	}
 }
 
-// admit sends a request on if its own bank holds its units, else if bank 0 lends them.
-func (g *Gateway) admit(r *request, inside bool) {
+// admit sends a request on if its own bank holds its units, else if bank 0 lends them. What a home
+// has granted is inside the ceiling too.
+func (g *Gateway) admit(r *request, inside, granted bool) {
 	q, c, plan := &r.Request, r.c, &g.set.Plans[r.Plan]
 	if !inside {
 		g.lend.refill(g.now)
@@ -741,7 +723,8 @@
 			return
 		}
 	}
-	if plan.CeilingRate > 0 && c.ceiling.level < q.Units {
+	ceiling := plan.CeilingRate > 0 && !granted
+	if ceiling && c.ceiling.level < q.Units {
 		g.refuse(q.ID, overCeiling, until(c.ceiling.level, c.ceiling.rate, q.Units))
 		return
 	}
@@ -751,11 +734,11 @@
 		return
 	}
 	if inside {
-		g.take(c, q.Units)
+		g.take(c, r.home, q.Units)
 	} else {
 		g.lend.level -= q.Units
 	}
-	if plan.CeilingRate > 0 {
+	if ceiling {
 		c.ceiling.level -= q.Units
 	}
 	g.again = math.Min(againMost, g.again+againShare)
@@ -854,7 +837,7 @@
 	g.meter(r.c, o.Metered)
 	if g.set.Settles && o.Result == OK && o.TrueUnits > 0 {
 		g.refill(r.c)
-		g.take(r.c, o.TrueUnits-r.Units)
+		g.take(r.c, r.home, o.TrueUnits-r.Units)
 	}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -751,7 +751,7 @@
 	set.Gateways = 12
 	set.Plans[1].Rate, set.Plans[1].Burst, set.Plans[1].BeyondEarns = 20, 40, 0
 	probe := newRig(t, set)
-	first := func(id uint64) int { return 12 - probe.home(&customer{id: id, spread: 12}) }
+	first := func(id uint64) int { return 12 - probe.home(&customer{id: id, spread: 12}, 0) }
 	home = newRig(t, set)
 	set.Self = 5
 	member = newRig(t, set)
@@ -811,6 +811,122 @@
 	}
 }
 
+// fleet is a tier of gateways, and what has all their notes reach one another.
+func fleet(t *testing.T, set Settings) (rigs []*rig, settle func()) {
+	for i := range set.Gateways {
+		set.Self = i
+		rigs = append(rigs, newRig(t, set))
+	}
+	return rigs, func() {
+		for carried := true; carried; {
+			carried = false
+			for from, r := range rigs {
+				told := r.done
+				r.done = nil
+				for _, l := range told {
+					var to int
+					var note []byte
+					if n, _ := fmt.Sscanf(l, "tell %d %x", &to, &note); n != 2 {
+						r.done = append(r.done, l)
+						continue
+					}
+					rigs[to].Peer(max(r.at, rigs[to].at), from, note)
+					carried = true
+				}
+			}
+		}
+	}
+}
+
+// Guards against a quota, a burst or a ceiling that counts once for each home, and against one that
+// uneven demand can't use up: each request draws a home, also one that comes to a home.
+func TestHomesHoldOneQuotaAndCeilingTogether(t *testing.T) {
+	for _, gateways := range []int{7, 12, 80} {
+		set := settings()
+		set.Gateways, set.MailPerSecond, set.MaxUnits = gateways, 40, 8
+		set.Plans[0] = Plan{Name: "large", Rate: 40, Burst: 64, CeilingRate: 80, CeilingBurst: 128, CeilingSlack: 12, Price: 1}
+		rigs, settle := fleet(t, set)
+		settle()
+		homes := rigs[0].homes(&customer{id: 9, plan: 0, spread: gateways})
+		if homes < 2 || homes > 4 {
+			t.Fatalf("%d homes, want some that hold two of the largest requests each", homes)
+		}
+		const seconds = 20
+		sent := 0.0
+		for i := range seconds * 50 { // 100 units a second, half of them at one gateway
+			at := 0
+			if i%2 == 1 {
+				at = i % gateways
+			}
+			r := rigs[at]
+			r.at = start + second + Time(i)*second/50
+			r.next++
+			r.done = nil
+			r.Request(r.at, Request{ID: r.next, Customer: 9, Units: 2, Grace: 4 * second, Spread: gateways})
+			settle()
+			if slices.ContainsFunc(r.done, func(l string) bool { return strings.HasPrefix(l, "send") }) {
+				sent += 2
+				r.Outcome(r.at, Outcome{ID: r.next, Backend: r.requests[r.next].attempts[0].b.Backend, Result: OK, Over: true})
+			}
+		}
+		var quota, ceiling bank
+		for _, r := range rigs {
+			if c := r.customers[9]; c != nil {
+				if r.keeps(c) {
+					quota.rate, quota.cap = quota.rate+c.store.rate, quota.cap+c.store.cap
+				}
+				ceiling.rate, ceiling.cap = ceiling.rate+c.ceiling.rate, ceiling.cap+c.ceiling.cap
+			}
+		}
+		near(t, "rate over all homes", quota.rate, 40)
+		near(t, "burst over all homes", quota.cap, 64)
+		near(t, "rate of the ceiling over all", ceiling.rate, 80)
+		near(t, "burst of the ceiling over all", ceiling.cap, 128)
+		if most := 64 + 40.0*seconds; sent > most || sent < 0.9*most {
+			t.Errorf("%d gateways sent %.0f units in %d s, want most of %.0f", gateways, sent, seconds, most)
+		}
+	}
+}
+
+// Guards against a request that waits twice for a home that has ended: it asks another one.
+func TestAnotherHomeIsAskedWhereOneIsSilent(t *testing.T) {
+	set := settings()
+	set.Gateways, set.MailPerSecond, set.MaxUnits = 12, 40, 8
+	set.Plans[0] = Plan{Name: "large", Rate: 40, Burst: 64, Price: 1}
+	c := &customer{id: 9, plan: 0, spread: 12}
+	for set.Self = 0; newRig(t, set).keeps(c); set.Self++ {
+	}
+	r := newRig(t, set)
+	asks := func() (to []string) {
+		for _, l := range r.done {
+			if strings.HasPrefix(l, "tell") {
+				to = append(to, strings.Fields(l)[1])
+			}
+		}
+		return to
+	}
+	r.done = nil
+	r.Request(r.at, Request{ID: 1, Customer: 9, Units: 2, Grace: 4 * second, Spread: 12})
+	r.at += Time(askWait * float64(r.shortAim))
+	r.Timer(r.at, askToken)
+	if to := asks(); len(to) != 2 || to[0] == to[1] {
+		t.Fatalf("asked %v, want two homes", to)
+	}
+	silent := asks()[0]
+	r.done = nil
+	for id := range uint64(20) {
+		r.Request(r.at, Request{ID: 2 + id, Customer: 9, Units: 2, Grace: 4 * second, Spread: 12})
+	}
+	if to := asks(); len(to) != 20 || slices.Contains(to, silent) {
+		t.Errorf("asked %v, want none of the silent home %s", to, silent)
+	}
+	r.at += Time(askWait * float64(r.shortAim))
+	r.Timer(r.at, askToken)
+	if r.fake.count("send 1 ") != 1 {
+		t.Errorf("%v, want the first request decided by the slice", r.done)
+	}
+}
+
 // Guards against a home that does not answer: the slice decides, in time.
 func TestASilentHomeKeepsNoRequestWaiting(t *testing.T) {
 	_, member := wideRigs(t)
--- a/decide/handover.go
+++ b/decide/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
 )
 
@@ -40,6 +41,7 @@
 	Total, Part                    float64
 	Use, Others, Metered           [2]float64
 	Heard                          []HeardState
+	Tallies                        [][3]float64 // absent in an older one's, which has one home
 	GrantAt, TellAt                Time
 	Asks                           byte
 }
@@ -125,6 +127,9 @@
 		for _, h := range c.heard {
 			cs.Heard = append(cs.Heard, HeardState{h.known, h.boot, h.taken, h.asked})
 		}
+		for _, t := range c.tallies {
+			cs.Tallies = append(cs.Tallies, [3]float64{t.taken, t.asked, t.askedTold})
+		}
 		s.Customers = append(s.Customers, cs)
 	}
 	for _, b := range g.backends {
@@ -277,6 +282,15 @@
 	if g.pooled {
 		c.store.rate, c.store.cap = p.Rate, p.Burst
 	}
+	if g.keeps(c) { // an older one's bank may hold all of the burst
+		c.store.level = math.Min(c.store.level, p.Burst/float64(g.homes(c)))
+	}
+	for _, t := range s.Tallies {
+		c.tallies = append(c.tallies, tally{t[0], t[1], t[2]})
+	}
+	if s.Tallies == nil {
+		*c.with(0) = tally{s.Taken, s.Asked, s.AskedTold}
+	}
 	for _, h := range s.Heard {
 		c.heard = append(c.heard, heard{h.Known, h.Boot, h.Taken, h.Asked})
 	}
--- a/decide/reload.go
+++ b/decide/reload.go
@@ -43,6 +43,9 @@
 		// A larger burst comes by and by: what a bank holds is no more than it was.
 		p := &g.set.Plans[c.plan]
 		c.store.rate, c.store.cap, c.store.level = p.Rate, p.Burst, math.Min(c.store.level, p.Burst)
+		if g.keeps(c) {
+			c.store.level = math.Min(c.store.level, p.Burst/float64(g.homes(c)))
+		}
 		c.window = g.windowOf(p, c.spread)
 	}
 	return nil
--- a/decide/state.go
+++ b/decide/state.go
@@ -26,6 +26,7 @@
 	grantAt       Time      // and when it may be told again
 	asks          byte      // how often the home was asked, counted round
 	tellAt        Time      // when a member under a grant tells again
+	tallies       []tally   // a member's, by the home that it asked
 	calls         []float64 // counter calls without an answer
 	total         float64   // the counter's last total
 	metered       fading    // units asked here over the meter's period
@@ -34,6 +35,17 @@
 	tell          int       // how often its use is still to be told
 }
 
+// tally is what a member took and asked for under one home.
+type tally struct{ taken, asked, askedTold float64 }
+
+// with is the tally under a home.
+func (c *customer) with(home int) *tally {
+	for len(c.tallies) <= home {
+		c.tallies = append(c.tallies, tally{})
+	}
+	return &c.tallies[home]
+}
+
 // heard is what a gateway last told of a customer.
 type heard struct {
 	known bool
@@ -63,6 +75,7 @@
 	period  Time // between notes
 	boots   []uint32
 	heardAt []Time
+	deafAt  []Time // when each last left an ask unanswered
 	telling []*customer
 	notes   [][]byte
 	turn    byte   // of the last note, counted round; never 0
@@ -132,7 +145,9 @@
 // request is a client's try that this gateway has taken.
 type request struct {
 	Request
-	ask      byte // the number of the ask to the customer's home
+	ask      byte // the number of the ask to a home of the customer
+	home     int  // which of them that was
+	asked    int  // how many were asked
 	by       Time // when it is decided without an answer to that
 	until    Time
 	c        *customer
@@ -196,7 +211,8 @@
 		set: set, do: do, rand: rand.New(rand.NewPCG(seed, seed>>32)), boot: uint32(seed>>32) ^ uint32(seed),
 		idleSpill: make([]float64, len(set.Plans)), customers: map[uint64]*customer{},
 		boots: make([]uint32, set.Gateways), heardAt: make([]Time, set.Gateways),
-		notes: make([][]byte, set.Gateways), turns: make([]byte, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
+		deafAt: make([]Time, set.Gateways),
+		notes:  make([][]byte, set.Gateways), turns: make([]byte, set.Gateways), pooled: set.Gateways > 1 && (set.Peers || set.Counter),
 		byID: map[uint32]*backend{}, requests: map[uint64]*request{}, elsewhere: map[uint64]*request{},
 		base: make([]mean, len(set.Classes)), due: make([][]*attempt, len(set.Classes)),
 	}
@@ -227,9 +243,6 @@
 // unsettled tells whether this gateway began so lately that its peers can't have told it of all banks.
 func (g *Gateway) unsettled() bool { return g.now-g.born < min(second/2, settleIn*g.period) }
 
-// member tells whether this gateway knows of a customer's use only by its home.
-func (g *Gateway) member(c *customer) bool { return g.wide(c) && g.home(c) != g.set.Self }
-
 // begun is the note to a peer, begun if need be.
 func (g *Gateway) begun(peer int) []byte {
 	if len(g.notes[peer]) == 0 {
@@ -346,23 +359,14 @@
 // audience is to how many gateways, from which on, a customer's use is told.
 func (g *Gateway) audience(c *customer) (first, n int) {
 	if g.wide(c) {
-		return g.home(c), 1
+		return g.home(c, 0), 1
 	}
 	return c.first, c.spread
 }
 
-// wide tells whether a customer's set is too large for each to tell all others.
-func (g *Gateway) wide(c *customer) bool { return g.set.Peers && c.spread > fewPeers }
-
-// home is the gateway that a wide set tells its use.
-func (g *Gateway) home(c *customer) int {
-	const mix = 0x9E3779B97F4A7C15 // spreads ids evenly over the set
-	return (c.first + int((c.id*mix)>>33)%c.spread) % g.set.Gateways
-}
-
 // mark has a customer's use told with the next notes.
 func (g *Gateway) mark(c *customer) {
-	if c.spread == 1 || !g.pooled || g.member(c) && g.consults(c) {
+	if c.spread == 1 || !g.pooled || g.consults(c) {
 		c.told = c.taken
 		return
 	}
@@ -527,6 +531,6 @@
 	g.begin(now)
 	if c := g.customers[customer]; c != nil && g.set.Settles {
 		g.refill(c)
-		g.take(c, more)
+		g.take(c, 0, more)
 	}
 }
--- a/internal/gateway/command.go
+++ b/internal/gateway/command.go
@@ -150,8 +150,8 @@
 
 // mostUnits is the most that a request may take.
 func (cfg *Config) mostUnits() float64 {
-	if cfg.Host.MaxUnits > 0 {
-		return cfg.Host.MaxUnits
+	if cfg.Settings.MaxUnits > 0 {
+		return cfg.Settings.MaxUnits
 	}
 	return mostUnits
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -13,7 +13,6 @@
 type Host struct {
 	Classes, Plans []string      // their names, in the order of the settings
 	Limits         []decide.Time // of each class: how long a client waits at the most; 0: not told
-	MaxUnits       float64       // that a request may take; 0: not told
 	Zones          []string      // names, by number
 	Report         []string      // the names of the values in a load report
 	ReportVia      string        // "piggyback", "pull" or "silent"
@@ -113,7 +112,7 @@
 	"family-info.counter":         flag(func(d *draft) *bool { return &d.Counter }),
 	"family-info.settles":         flag(func(d *draft) *bool { return &d.Settles }),
 	"family-info.meter-period-us": whole(func(d *draft) *decide.Time { return &d.MeterPeriod }),
-	"family-info.max-units":       number(func(d *draft) *float64 { return &d.host.MaxUnits }),
+	"family-info.max-units":       number(func(d *draft) *float64 { return &d.MaxUnits }),
 	"family-info.mail-per-s":      number(func(d *draft) *float64 { return &d.MailPerSecond }),
 	"guarantees.ask-within-us":    whole(func(d *draft) *decide.Time { return &d.AskWithin }),
 	"guarantees.cold-from":        number(func(d *draft) *float64 { return &d.ColdFrom }),
