Give cold backends their saved-up turn at once, and what the settings say they bear

Logged by backend: 27 warm ones held 399 attempts at 1.3 to 1.9 s, 36 cold ones held 56 at 0.3 s, idle.

Two lines. choose() weighs a cold backend like a warm one, so that what its bank has saved up waits for a draw among all that are idle: 45 requests, five seconds at one of 80 gateways. And warmEnough() paces it by what the warm ones get, which falls as they are overdriven: 0.7 and then 3.2 a second of the 10 that a third of a warm one's work would be.

Ruled out: too little room in general (half of the cores idled at the gate), and the drawn first token (the sends come evenly from the start).

Now a cold one with a send saved up is taken before idle warm ones, and gets coldPart (0.6) of what would make it fall over by overload-factor, which is read from the settings; the cap of a fleet's burst is unchanged.

--- a/decide/api.go
+++ b/decide/api.go
@@ -111,6 +111,7 @@
 
 	ColdFrom float64 // least share of its capacity that a backend starts at
 	ColdTime Time    // it is warm by then
+	Overload float64 // what a cold backend falls over at, in multiples of its capacity; 0: not told
 	TipAfter Time    // span over which what a cold backend is sent is counted
 
 	CrossZonePrice float64
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -68,6 +68,7 @@
 	learnOne   = 0.1         // and of one backend
 	zoneWeight = 5.0         // turns the price of crossing zones into load
 	paceTime   = 4 * second  // over which the pace of sends is taken
+	coldPart   = 0.6         // the part of what makes a cold backend fall over that it is sent
 )
 
 // New makes a gateway that knows nothing but its settings.
@@ -545,7 +546,7 @@
 // cost is how long a request may have to wait at a backend, compared with others. Load reports
 // don't count: they are older than a request takes, and all gateways run after the same one.
 func (g *Gateway) cost(b *backend) float64 {
-	cost := float64(b.out+1) * b.slowness(g.now)
+	cost := float64(b.out+1) * b.slowness(g.now) * g.share(b) // a cold one's turn has been saved up for it
 	if b.Zone != g.set.Zone {
 		cost *= 1 + g.set.CrossZonePrice*zoneWeight
 	}
@@ -589,7 +590,7 @@
 	span := float64(g.set.TipAfter) / float64(second)
 	each := g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
 	least := 1 / math.Max(span, 1) / float64(g.set.Gateways) // one send in a span through all
-	b.cold.rate = math.Max(each, least) * share
+	b.cold.rate = math.Max(each, least) * share * math.Max(1, coldPart*g.set.Overload)
 	b.cold.cap = math.Max(1, b.cold.rate*span/2)
 	b.cold.refill(g.now)
 	return b.cold.level >= 1
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1103,6 +1103,59 @@
 	}
 }
 
+// Guards against cold backends that idle while the few warm ones are overdriven: what many gateways
+// save up for one is used at once, and all together stay within what it bears.
+func TestColdBackendsTakeTheirTurnsWithinTheFleetsBudget(t *testing.T) {
+	const gateways, backends, warm, perSecond, span = 60, 20, 8, 8, 3
+	set := settings()
+	set.Overload, set.TipAfter, set.ColdFrom = 2.5, span*second, 0.25
+	list := members(backends)
+	var fleet []*rig
+	for seed := range uint64(gateways) {
+		g, err := New(set, seed, &fake{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Members(start, Whole, list)
+		fleet = append(fleet, &rig{Gateway: g, fake: g.do.(*fake), t: t, at: start})
+	}
+	customer := uint64(0)
+	sent := func(seconds int) map[uint32]float64 {
+		got := map[uint32]float64{}
+		for range seconds * perSecond {
+			for i, r := range fleet {
+				r.at += second / perSecond
+				r.Timer(r.at, 0)
+				customer++
+				if id, ok := r.ask(0, 1, customer*gateways+uint64(i), 1); ok {
+					got[r.requests[id].attempts[0].b.Backend]++
+					r.end(id, OK, true)
+				}
+				r.done = nil
+			}
+		}
+		return got
+	}
+	each := sent(4)[1] / 4
+	for i := range list[warm:] {
+		list[warm+i].Started = fleet[0].at
+	}
+	for _, r := range fleet {
+		r.Members(r.at, Whole, list)
+	}
+	got := sent(span)
+	cold := 0.0
+	for _, m := range list[warm:] {
+		if budget := set.Overload * set.ColdFrom * each * backends / warm * span; got[m.Backend] > budget {
+			t.Errorf("cold backend %d was sent %.0f in %d s, %.0f at most", m.Backend, got[m.Backend], span, budget)
+		}
+		cold += got[m.Backend] / (backends - warm) / span
+	}
+	if cold < set.ColdFrom*each {
+		t.Errorf("a cold backend was sent %.1f a second, a warm one before %.1f: want its part at least", cold, each)
+	}
+}
+
 // Guards against an overdriven back end that never drains: i678c40.
 func TestTheLeastRoomFallsAsAnswersComeLate(t *testing.T) {
 	room := func(late float64) int {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -117,6 +117,7 @@
 	"guarantees.ask-within-us":    whole(func(d *draft) *decide.Time { return &d.AskWithin }),
 	"guarantees.cold-from":        number(func(d *draft) *float64 { return &d.ColdFrom }),
 	"guarantees.cold-us":          whole(func(d *draft) *decide.Time { return &d.ColdTime }),
+	"guarantees.overload-factor":  number(func(d *draft) *float64 { return &d.Overload }),
 	"guarantees.tip-after-us":     whole(func(d *draft) *decide.Time { return &d.TipAfter }),
 	"prices.cross-zone":           number(func(d *draft) *float64 { return &d.CrossZonePrice }),
 	"membership-mode": word(map[string]bool{"pushed": false, "on_request": true},
