Have each gateway prefer an even arc of each zone's backends where handshakes have a price

Cause: choose() knew no price of a handshake, so what one gateway holds, two or three attempts, was spread over all backends.

Now prices.handshake weighs on backends outside a gateway's arc as the price of zones weighs on the others. The arcs are cut from an order that all share, zone by zone, so that a lost zone leaves two thirds and each backend is near to 24 gateways (all where they are fewer, or a handshake is free); neighbours, which serve the same customers, have arcs far apart. A cold backend's turns are saved up by those near to it.

--- a/decide/api.go
+++ b/decide/api.go
@@ -115,6 +115,7 @@
 	TipAfter Time    // span over which what a cold backend is sent is counted
 
 	CrossZonePrice float64
+	HandshakePrice float64
 	HintsTell      bool // members' hints are comparable sizes
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,7 +66,8 @@
 	healTime   = 4 * second  // a sign of slowness fades by half in the latter
 	learn      = 0.02        // the weight of a sample in what is learnt of the whole fleet,
 	learnOne   = 0.1         // and of one backend
-	zoneWeight = 5.0         // turns the price of crossing zones into load
+	zoneWeight = 5.0         // turns the price of crossing zones, or of a handshake, into load
+	nearShared = 24          // how many gateways a backend is near to, where handshakes have a price
 	paceTime   = 4 * second  // over which the pace of sends is taken
 	coldPart   = 0.6         // the part of what makes a cold backend fall over that it is sent
 )
@@ -550,6 +551,9 @@
 	if b.Zone != g.set.Zone {
 		cost *= 1 + g.set.CrossZonePrice*zoneWeight
 	}
+	if !b.near {
+		cost *= 1 + g.set.HandshakePrice*zoneWeight
+	}
 	if g.set.HintsTell && b.Hint > 0 {
 		cost /= b.Hint
 	}
@@ -577,6 +581,7 @@
 		b.Member, b.listed = m, m.State != Left
 	}
 	g.prune()
+	g.drawNear()
 }
 
 // warmEnough tells whether a backend may be sent one more. A cold one is sent its share of
@@ -590,6 +595,9 @@
 	span := float64(g.set.TipAfter) / float64(second)
 	each := g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
 	least := 1 / math.Max(span, 1) / float64(g.set.Gateways) // one send in a span through all
+	if !b.near {
+		each = 0 // those that it is near to see to it
+	}
 	b.cold.rate = math.Max(each, least) * share * math.Max(1, coldPart*g.set.Overload)
 	b.cold.cap = math.Max(1, b.cold.rate*span/2)
 	b.cold.refill(g.now)
@@ -629,7 +637,7 @@
 		g.listen(b)
 		if b.State == Ready && b.listed && !g.sick(b) {
 			g.alive++
-			if g.share(b) == 1 {
+			if g.share(b) == 1 && b.near {
 				g.warm++
 			}
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1156,6 +1156,82 @@
 	}
 }
 
+// Guards against connections from every gateway to every backend, and against uneven arcs: each
+// backend is near to about as many gateways as any other, also after most were replaced.
+func TestEachGatewayPrefersAnEvenArcOfEveryZone(t *testing.T) {
+	const zones = 3
+	for _, c := range []struct {
+		gateways, backends int
+		price              float64
+	}{{3, 12, 0.08}, {80, 60, 0}, {80, 60, 0.08}, {200, 33, 0.08}} {
+		set := settings()
+		set.Gateways, set.HandshakePrice = c.gateways, c.price
+		for _, first := range []uint32{1, 1000} {
+			near := map[uint32]int{}
+			for set.Self = range c.gateways {
+				g, err := New(set, uint64(set.Self), &fake{})
+				if err != nil {
+					t.Fatal(err)
+				}
+				var list []Member
+				for i := range uint32(c.backends) {
+					id := i * 0x9E37
+					if i*10 >= uint32(c.backends)*4 {
+						id = (first + i) * 0x51ED
+					}
+					list = append(list, Member{Backend: id, Zone: int(i % zones)})
+				}
+				g.Members(start, Whole, list)
+				own := map[int]int{}
+				for _, b := range g.backends {
+					near[b.Backend] += int(step(b.near))
+					own[b.Zone] += int(step(b.near))
+				}
+				if len(own) != zones || own[0]*own[1]*own[2] == 0 {
+					t.Fatalf("%v: gateway %d prefers %v of the zones", c, set.Self, own)
+				}
+			}
+			least, most := c.gateways, 0
+			for _, n := range near {
+				least, most = min(least, n), max(most, n)
+			}
+			switch {
+			case len(near) != c.backends || c.price == 0 && least < c.gateways:
+				t.Errorf("%v: near to %d to %d gateways, want all where a handshake costs nothing", c, least, most)
+			case c.price > 0 && (least < min(nearShared-2, c.gateways) || most > 2*nearShared):
+				t.Errorf("%v: near to %d to %d gateways, want about %d", c, least, most, nearShared)
+			}
+		}
+	}
+}
+
+// Guards against a gateway that is left with none when the backends that it prefers are busy or gone.
+func TestOtherBackendsServeWhereTheNearOnesDoNot(t *testing.T) {
+	set := settings()
+	set.Gateways, set.HandshakePrice, set.Probes = 80, 0.08, false
+	r := newRig(t, set)
+	r.Members(r.at, Whole, members(20))
+	chosen := func() *backend { return r.choose(&request{Request: Request{}}, nil) }
+	for range 6 {
+		b := chosen()
+		if !b.near {
+			t.Fatal("want a near backend while one idles")
+		}
+		b.out++
+	}
+	if chosen().near {
+		t.Error("want one that idles, though a connection to it has a price, when all near ones are busy")
+	}
+	for _, b := range r.backends {
+		if b.out = 0; b.near {
+			b.down, b.trialAt = true, r.at+healTime
+		}
+	}
+	if b := chosen(); b == nil || b.near {
+		t.Error("want another backend when all near ones are down")
+	}
+}
+
 // Guards against an overdriven back end that never drains: i678c40.
 func TestTheLeastRoomFallsAsAnswersComeLate(t *testing.T) {
 	room := func(late float64) int {
--- a/decide/reload.go
+++ b/decide/reload.go
@@ -36,6 +36,7 @@
 	}
 	g.set = set
 	g.derive()
+	g.drawNear()
 	g.lend.refill(now)
 	g.lend.rate, g.lend.level = total(g.idleSpill), math.Min(g.lend.level, g.lend.cap)
 	for _, c := range g.order {
--- a/decide/state.go
+++ b/decide/state.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -110,6 +111,7 @@
 type backend struct {
 	Member
 	listed  bool
+	near    bool    // one of those that this gateway prefers
 	out     int     // attempts out
 	overdue int     // those of them past their aim
 	quiet   Time    // since when it has had attempts out and answered none
@@ -205,6 +207,41 @@
 	})
 }
 
+// drawNear draws the backends that this gateway prefers. Where a handshake has a price, and many
+// gateways would each pay it to every backend, each has some of every zone: an arc of the zone's
+// backends, in an order that all gateways share, so that each is near to as many gateways as any other.
+func (g *Gateway) drawNear() {
+	n := g.set.Gateways
+	step := n*5/8 | 1 // neighbours serve the same customers: their arcs are far apart
+	for gcd(step, n) > 1 {
+		step += 2
+	}
+	zones := map[int][]*backend{}
+	for _, b := range g.backends {
+		b.near = g.set.HandshakePrice <= 0
+		if b.listed && b.State == Ready {
+			zones[b.Zone] = append(zones[b.Zone], b)
+		}
+	}
+	const mix = 0x9E3779B1
+	for _, zone := range zones {
+		slices.SortFunc(zone, func(a, b *backend) int {
+			return cmp.Or(cmp.Compare(a.Backend*mix, b.Backend*mix), cmp.Compare(a.Backend, b.Backend))
+		})
+		first, arc := g.set.Self*step%n*len(zone)/n, (nearShared*len(zone)+n-1)/n
+		for i := range min(arc, len(zone)) {
+			zone[(first+i)%len(zone)].near = true
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // newGateway makes a gateway's empty state.
 func newGateway(set Settings, seed uint64, do Actions) *Gateway {
 	g := &Gateway{
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -119,6 +119,7 @@
 	"guarantees.cold-us":          whole(func(d *draft) *decide.Time { return &d.ColdTime }),
 	"guarantees.overload-factor":  number(func(d *draft) *float64 { return &d.Overload }),
 	"guarantees.tip-after-us":     whole(func(d *draft) *decide.Time { return &d.TipAfter }),
+	"prices.handshake":            number(func(d *draft) *float64 { return &d.HandshakePrice }),
 	"prices.cross-zone":           number(func(d *draft) *float64 { return &d.CrossZonePrice }),
 	"membership-mode": word(map[string]bool{"pushed": false, "on_request": true},
 		func(d *draft) *bool { return &d.AskMembers }),
