--- a/decide/homes.go
+++ b/decide/homes.go
@@ -56,6 +56,7 @@
 	c.asks++
 	r.ask, r.by = max(1, c.asks), g.now+min(Time(askWait*float64(g.shortAim)), r.Grace/2)
 	r.asked++
+	g.counts.asks++
 	peer, told := g.home(c, r.home), c.with(r.home)
 	if r.asked == 1 {
 		told.asked += r.Units
@@ -100,6 +101,7 @@
 		case g.requests[r.ID] != r: // the client has left
 		case due || g.now >= r.by:
 			if !due {
+				g.counts.silent++
 				g.deafAt[g.home(r.c, r.home)] = g.now
 				if r.asked == 1 && g.consults(r.c) && g.homes(r.c) > 1 {
 					again = append(again, r)
--- a/decide/report.go
+++ b/decide/report.go
@@ -27,6 +27,8 @@
 	refused  [reasons]int
 	slice    int // those over quota whose whole store held their units: this gateway's slice did not
 	half     int // and those of them with half of the store or more
+	asks     int // of homes, by wide sets
+	silent   int // those of them without an answer in time
 	outcomes [Moot + 1]int
 }
 
@@ -56,12 +58,12 @@
 	}
 	held, inTime, gateways := g.view()
 	g.do.Log(fmt.Sprintf("sent %d, in a row to one %d; refused: late %d, room %d, quota %d, ceiling %d, backend %d, turned away %d; "+
-		"of quota for a slice %d, half of all %d; "+
+		"of quota for a slice %d, half of all %d; asked homes %d, unanswered %d; "+
 		"ok %d, failed %d, full %d, timed out %d, no connection %d, reset %d, moot %d; "+
 		"held %.1f, in time %.1f/s, of %.1f gateways; late %.2f, mean %.0f ms, sound %d of %d",
 		n.sent, n.inRow, n.refused[tooLate], n.refused[noRoom], n.refused[overQuota], n.refused[overCeiling],
 		n.refused[noBackend], n.refused[turnedAway],
-		n.slice, n.half,
+		n.slice, n.half, n.asks, n.silent,
 		n.outcomes[OK], n.outcomes[Failed], n.outcomes[Full], n.outcomes[TimedOut], n.outcomes[ConnectFailed],
 		n.outcomes[Reset], n.outcomes[Moot],
 		held, inTime, gateways, g.late.v, g.mean.v/1000, g.alive, len(g.backends)))
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -91,6 +91,7 @@
 	keep     keep
 	most     int // connections and dials
 	open     int
+	dialed   int // since the last report
 	dial     net.Dialer
 }
 
@@ -170,6 +171,7 @@
 		}
 		b.dialing++
 		bs.open++
+		bs.dialed++
 		go func(address string) {
 			conn, err := bs.dial.DialContext(context.Background(), "tcp", address)
 			e := dialed{b: b, address: address, err: err}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -71,7 +71,8 @@
 	}
 	l.log.Info("clients", "accepted", n.accepted, "open", len(cs.conns), "most", cs.most, "closed_silent", n.silent,
 		"closed_halfway", n.halfway, "closed_idle", n.idle, "refused_places", n.surplus,
-		"refused_memory", n.noMem, "longest_accept_us", n.wait)
+		"refused_memory", n.noMem, "longest_accept_us", n.wait, "dialed_backends", l.backends.dialed, "to_backends", l.backends.open)
+	l.backends.dialed = 0
 	*n = clientCounts{since: now}
 }
 
