--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,12 +25,12 @@
 const (
 	useWindow  = 0.5         // the demand window, as a part of the time in which a burst refills
 	mailShare  = 0.5         // the part of a receiver's message limit that notes may fill
-	fewPeers   = 4           // up to so many gateways tell one another all; beyond that asking costs less mail
+	fewPeers   = 4           // up to so many gateways tell one another all; a larger set asks or tells a home
 	grantStep  = 1.25        // by what factor a grant must move to be told to the whole set
 	grantLeast = 0.01        // the least grant: no customer is shut out for good
 	grantError = 0.1         // by what part a member's grant may be off before its home answers
 	reserve    = 0.75        // the part of the burst that a home keeps for chance in what its set sends
-	askRate    = 1.0         // the part of the notes meant for notes that asks to one home may be, of a unit each
+	askRate    = 1.0         // the part of the notes a receiver takes in that asks to one home may be
 	askWait    = 0.1         // how long a home's answer is waited for, in shortest aims
 	ceilEven   = 0.5         // the part of a ceiling cut evenly: demand may move faster than notes
 	homeRate   = 0.4         // the part of them from which on the asks are cut over several homes
