--- a/decide/handover_test.go
+++ b/decide/handover_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/gob"
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -200,3 +201,41 @@
 		}
 	}
 }
+
+// Guards against homes that are told of the same units twice, or never: what a member took under
+// each of several homes goes along, and an older process, which knew one, told it all.
+func TestHandoverKeepsWhatEachHomeWasTold(t *testing.T) {
+	set := namedSettings()
+	set.Gateways, set.MaxUnits = 12, 1
+	set.Plans[0].Rate, set.Plans[0].Burst = 60, 60
+	r := newRig(t, set)
+	first := 0
+	for !r.keeps(&customer{id: 9, first: first, spread: 12}) {
+		first++
+	}
+	c := r.customer(9, 0, first, 12)
+	if n := r.homes(c); n < 2 {
+		t.Fatalf("%d homes, want several", n)
+	}
+	*c.with(1) = tally{taken: 5, asked: 8, askedTold: 7}
+	*c.with(0) = tally{taken: 2, asked: 3, askedTold: 3}
+	c.taken, c.asked, c.askedTold = 7, 11, 10
+	if got := r.second(t, set).customers[9].tallies; !slices.Equal(got, c.tallies) {
+		t.Errorf("tallies %v, want %v", got, c.tallies)
+	}
+	s := r.Export(r.at)
+	for i := range s.Customers {
+		s.Customers[i].Tallies, s.Customers[i].Store = nil, [4]float64{60, 60, 60, float64(r.at)}
+	}
+	next := newRig(t, set)
+	if err := next.Import(next.at, s); err != nil {
+		t.Fatal(err)
+	}
+	now := next.customers[9]
+	if want := []tally{{7, 11, 10}}; !slices.Equal(now.tallies, want) {
+		t.Errorf("tallies %v from an older process, want %v", now.tallies, want)
+	}
+	if now.store.level > 60/float64(next.homes(now)) {
+		t.Errorf("a home holds %g of a burst cut over %d", now.store.level, next.homes(now))
+	}
+}
