End what waits for a connection when its request ends

Ruled out: requests that wait for a home's grant and further attempts after the client went; the module drops both (`answered`, `Outcome`), and no such line came from them.

Wrong: `left` and `answer` ended half-written bodies alone, not what stood in `waiting`; `free` wrote to the attempt that had waited longest without asking anything but the backend's state; `members` left what waited for a draining backend to its dials.

Now a request that closes ends its waiting attempt, a drain ends all that wait for the backend, and the module is asked once more (`Holds`) before what has waited is written.

--- a/decide/state.go
+++ b/decide/state.go
@@ -325,6 +325,20 @@
 	g.notes[peer] = grant{id: c.id, part: c.grant}.put(g.begun(peer))
 }
 
+// Holds tells whether an attempt that was kept from being written may still be: its request is
+// open, its backend ready, and no copy of what may have run is made that must not be.
+func (g *Gateway) Holds(now Time, id uint64, number int) bool {
+	r := g.requests[id]
+	if r == nil || r.over || number < 0 || number >= len(r.attempts) || !r.attempts[number].pending {
+		return false
+	}
+	a := r.attempts[number]
+	others := slices.DeleteFunc(slices.Clone(r.attempts), func(o *attempt) bool { return o == a })
+	class := &g.set.Classes[r.Class]
+	again, within, _ := class.may(others, g.set.SecondCopies, now, 4*g.set.Tick)
+	return again && a.b.listed && a.b.State == Ready && (within == nil || class.sameGroup(within.b, a.b))
+}
+
 // Started takes in that a streamed answer has begun: it is the client's now.
 func (g *Gateway) Started(now Time, id uint64) {
 	g.begin(now)
--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -155,9 +155,22 @@
 		}
 	}
 	b.waiting = append(b.waiting, a)
+	if a.r != nil {
+		a.r.waits = a
+	}
 	bs.connect(l, b)
 }
 
+// forgo ends an attempt that waits for a connection: it never was sent.
+func (bs *backends) forgo(l *Loop, a *attempt) {
+	if a == nil {
+		return
+	}
+	b := bs.byNumber[a.backend]
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *attempt) bool { return w == a })
+	l.finish(a, decide.Moot, nil)
+}
+
 // connect dials as long as more attempts wait than dials are under way.
 func (bs *backends) connect(l *Loop, b *backend) {
 	for b.dialing < len(b.waiting) {
@@ -255,6 +268,10 @@
 	for len(b.waiting) > 0 {
 		a := b.waiting[0]
 		b.waiting = b.waiting[1:]
+		if a.r != nil && !l.module.Holds(l.now(), a.r.id, a.number) {
+			l.finish(a, decide.Moot, nil) // it waited for too long
+			continue
+		}
 		if bs.write(l, c, a) {
 			return
 		}
@@ -303,6 +320,9 @@
 		a.relayed()
 	}
 	c.a, a.conn = a, c
+	if a.r != nil {
+		a.r.waits = nil
+	}
 	if a.r != nil {
 		a.r.body.pass(c)
 	}
@@ -504,9 +524,7 @@
 		a.r.value = nil // its turn in the client's line never came
 	}
 	if a.conn == nil {
-		b := l.backends.byNumber[a.backend]
-		b.waiting = slices.DeleteFunc(b.waiting, func(w *attempt) bool { return w == a })
-		l.finish(a, decide.Moot, nil)
+		l.backends.forgo(l, a)
 		return
 	}
 	a.conn.a = nil
@@ -524,6 +542,9 @@
 		return
 	}
 	a.ended = true
+	if a.r != nil && a.r.waits == a {
+		a.r.waits = nil
+	}
 	if a.halfway() {
 		if result != decide.Full {
 			result = decide.Moot // its last byte was never written
@@ -565,6 +586,9 @@
 		}
 		if b.state != decide.Ready {
 			bs.drop(b)
+			for len(b.waiting) > 0 {
+				bs.forgo(l, b.waiting[0]) // it can go elsewhere at once
+			}
 		}
 		if b.state == decide.Left && len(b.waiting) == 0 && b.dialing == 0 {
 			delete(bs.byID, id)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -17,8 +17,9 @@
 	args     [][]byte
 	wait     [2]int // where the value of d stands in the list of fields
 	deadline decide.Time
-	attempts int // made so far
-	out      int // of those, without an outcome
+	attempts int      // made so far
+	out      int      // of those, without an outcome
+	waits    *attempt // the one that waits for a connection; nil: none
 	answered bool
 	reply    []byte // waits in the client's line for its turn
 	name     uint64 // the id that the client gave
@@ -110,6 +111,7 @@
 	l.cancel(r.backstop)
 	r.backstop = nil
 	r.body.drop()
+	l.backends.forgo(l, r.waits) // nobody waits for it any more
 	if l.names[r.name] == r {
 		delete(l.names, r.name)
 	}
