Ask a silent agent again within the drain grace, and tell all news that were read

Wrong: `get` waited 3 s for any call, also one that the agent answers at once; `backoff` doubled up to 2 s, which is for a service that the whole fleet calls; after a failure the next call waited for what came next. `watch` threw away a list read when the address moved, as did `tell`, and told a list only after its call had ended.

Now, where lists are pushed, a call that is not answered half a grace after its wait is given up, the pause is a fifth of it at most, and the next call asks for what is known. Where a service is asked all stays as it was. News that were read are told as long as the loop runs, before the rest of their call. A dial to discovery ends with its call's time; that was only read, as a dial outlives the call that began it.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -49,7 +50,7 @@
 	watchWait  = 2 * time.Second        // short: a watch that hangs hides all news until it is given up
 	watchSlack = time.Second            // for an answer after the wait is over; discovery itself fails a call first
 	retryAfter = 100 * time.Millisecond // after a call that failed: drawn from up to so much,
-	retryMost  = 2 * time.Second        // doubled with each in a row up to this
+	retryMost  = 2 * time.Second        // doubled with each in a row up to this, where all call one service
 	tooSoon    = 50 * time.Millisecond  // for a watch that tells nothing
 	mostList   = 8 << 20                // bytes
 )
@@ -67,7 +68,8 @@
 	rand    *rand.Rand  // the watching goroutine's
 	moved   chan string // addresses of new configurations: the last one only
 	client  *http.Client
-	asks    bool          // discovery tells only who asks
+	asks    bool          // discovery tells only who asks: one service for the whole fleet; else an agent beside us
+	slack   time.Duration // for an answer after a call's wait is over
 	first   time.Duration // the longest pause after a call that was refused,
 	retry   time.Duration // and after many in a row
 	start   chan struct{} // closed when the list is to be followed
@@ -80,11 +82,20 @@
 	d := &discovery{
 		address: cfg.Discovery, moved: make(chan string, 1),
 		rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed>>32)),
-		client: &http.Client{CheckRedirect: stay, Transport: &http.Transport{
-			MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
-		}},
 		asks: cfg.Settings.AskMembers, first: retryAfter, retry: retryMost, start: make(chan struct{}), zones: cfg.Host.Zones,
+		slack: watchSlack,
 	}
+	if grace := time.Duration(cfg.Host.DrainGrace) * time.Microsecond; !d.asks && grace > 0 {
+		// The agent answers at once, or is silent, and what it has counts as told the moment that it
+		// has it: a call and the pause behind it are over well within the grace of a drain.
+		d.slack, d.first = min(watchSlack, grace/2), min(retryAfter, grace/5)
+		d.retry = d.first
+	}
+	d.client = &http.Client{CheckRedirect: stay, Transport: &http.Transport{
+		// A dial goes on though its call is given up, and keeps the next call waiting.
+		DialContext:     (&net.Dialer{Timeout: d.slack}).DialContext,
+		MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
+	}}
 	if within := time.Duration(cfg.Settings.AskWithin) * time.Microsecond; d.asks && within > 0 {
 		// One service answers the whole fleet, and works also on calls that have timed out: those that
 		// came at once and failed must come again over a time in which it can serve them all.
@@ -155,7 +166,7 @@
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
-			d.watch(watching, l, "http://"+address+"/catalog/members", version)
+			d.watch(watching, ctx, l, "http://"+address+"/catalog/members", version)
 		}()
 		select {
 		case address = <-d.moved:
@@ -169,8 +180,9 @@
 
 // watch watches for changes from a version on, at first without a wait; the whole list is taken
 // where none is held, or where discovery does not know the one held. A call that failed leaves
-// the version as it was: the next one brings all that was missed.
-func (d *discovery) watch(ctx context.Context, l *Loop, url string, version *uint64) {
+// the version as it was: the next one brings all that was missed, from an agent without a wait. What
+// was read is told though the list is followed elsewhere by now, as long as the loop runs (whole).
+func (d *discovery) watch(ctx, whole context.Context, l *Loop, url string, version *uint64) {
 	pause := func(wait time.Duration) {
 		select {
 		case <-time.After(wait):
@@ -180,37 +192,42 @@
 	tell := func(n news) {
 		select {
 		case l.urgent <- n:
-		case <-ctx.Done():
+		case <-whole.Done():
 		}
 	}
 	wait, failed := time.Duration(0), 0 // at first what is known at once: a start waits for it
 	for ctx.Err() == nil {
 		called := time.Now()
-		list, err := d.get(ctx, url, version, wait)
-		if ctx.Err() != nil {
-			return
-		}
+		list, end, err := d.get(ctx, url, version, wait)
 		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
 			if errors.Is(err, errVersion) {
 				version = nil
 			}
-			l.log.Warn("discovery", "error", err)
+			if failed&(failed-1) == 0 { // fewer and fewer of many in a row
+				l.log.Warn("discovery", "error", err, "failed_before", failed)
+			}
 			if d.asks {
 				tell(news{kind: decide.Unheard})
+			} else {
+				wait = 0
 			}
 			pause(d.backoff(failed, err))
 			failed++
 			continue
 		}
-		if wait > 0 && len(list.Members) == 0 && time.Since(called) < tooSoon {
-			pause(tooSoon) // a watch that does not wait must not become a busy loop
-		}
-		version, wait, failed = &list.Revision, watchWait, 0
 		kind := decide.Changed
 		if list.Complete {
 			kind = decide.Whole
 		}
 		tell(news{kind, list})
+		end()
+		if wait > 0 && len(list.Members) == 0 && time.Since(called) < tooSoon {
+			pause(tooSoon) // a watch that does not wait must not become a busy loop
+		}
+		version, wait, failed = &list.Revision, watchWait, 0
 	}
 }
 
@@ -219,7 +236,7 @@
 // answered had to tell counts as told some seconds later: the next one follows soon.
 func (d *discovery) backoff(failed int, err error) time.Duration {
 	first, most := retryAfter, retryMost
-	if errors.Is(err, errBusy) {
+	if !d.asks || errors.Is(err, errBusy) {
 		first, most = d.first, d.retry
 	}
 	return time.Duration(d.rand.Int64N(int64(min(first<<min(failed, 16), most)))) + time.Millisecond
@@ -231,35 +248,54 @@
 // errVersion tells that discovery can't tell what changed since the version held.
 var errVersion = errors.New("discovery call: the version held is not known")
 
-// get makes one call: a watch from a version on, or one for the whole list.
-func (d *discovery) get(ctx context.Context, url string, version *uint64, wait time.Duration) (list memberList, err error) {
+// get makes one call: a watch from a version on, or one for the whole list. With a list comes what
+// ends the call, once the list is told: a rest that does not come must not keep it.
+func (d *discovery) get(ctx context.Context, url string, version *uint64, wait time.Duration) (list memberList, end func(), err error) {
 	if version != nil {
 		url += fmt.Sprintf("?index=%d&wait=%d", *version, wait.Milliseconds())
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
-	defer cancel()
+	if d.asks {
+		wait = watchWait // its turn may come as late
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	late := time.AfterFunc(wait+d.slack, cancel)
+	closing := func() { late.Stop(); cancel() }
+	defer func() {
+		if err != nil {
+			closing()
+		}
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list, fmt.Errorf("discovery call: %w", err)
+		return list, nil, fmt.Errorf("discovery call: %w", err)
 	}
 	res, err := d.client.Do(req)
 	if err != nil {
-		return list, fmt.Errorf("discovery call: %w", err)
+		return list, nil, fmt.Errorf("discovery call: %w", err)
 	}
-	defer res.Body.Close()
+	defer func() {
+		if err != nil {
+			res.Body.Close()
+		}
+	}()
+	late.Reset(watchSlack) // for the list, which has begun
 	if res.StatusCode != http.StatusOK {
 		if res.StatusCode >= http.StatusInternalServerError || res.StatusCode == http.StatusTooManyRequests {
-			return list, fmt.Errorf("%w: status %s", errBusy, res.Status)
+			return list, nil, fmt.Errorf("%w: status %s", errBusy, res.Status)
 		}
-		return list, fmt.Errorf("%w: status %s", errVersion, res.Status)
+		return list, nil, fmt.Errorf("%w: status %s", errVersion, res.Status)
 	}
 	// A list that is cut or has no end must not pass for a short one.
 	if err := json.NewDecoder(io.LimitReader(res.Body, mostList)).Decode(&list); err != nil {
-		return list, fmt.Errorf("discovery list: %w", err)
+		return list, nil, fmt.Errorf("discovery list: %w", err)
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 64)) // so that the connection is kept
 	if version != nil && !list.Complete && list.Revision < *version {
-		return list, fmt.Errorf("%w: changes up to %d came, %d is held", errVersion, list.Revision, *version)
+		return list, nil, fmt.Errorf("%w: changes up to %d came, %d is held", errVersion, list.Revision, *version)
 	}
-	return list, nil
+	return list, func() {
+		late.Reset(tooSoon)
+		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 64)) // so that the connection is kept
+		_ = res.Body.Close()
+		closing()
+	}, nil
 }
--- /dev/null
+++ b/internal/gateway/discovery_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// withGrace gives the settings a grace for drains, as a deployment with a pushed list has.
+func withGrace(f map[string]any) {
+	f["settings"] = json.RawMessage(strings.Replace(settingsText, `"cold-from"`, `"drain-grace-us":500000,"cold-from"`, 1))
+}
+
+// An agent that has the list pushed is silent while discovery is down, and what it gets when that
+// returns counts as told at once: however long it was silent, it is asked again well within the
+// grace of a drain, and for all that it has rather than for what comes next.
+func TestSilentAgentIsAskedAgainWithinTheGrace(t *testing.T) {
+	cfg := configure(t, newFakeDiscovery(t), withGrace)
+	grace := time.Duration(cfg.Host.DrainGrace) * time.Microsecond
+	d := newDiscovery(&cfg)
+	for _, failed := range []int{0, 1, 5, 60} {
+		for _, err := range []error{errBusy, io.ErrUnexpectedEOF} {
+			for range 100 {
+				if gap := d.slack + d.backoff(failed, err); gap > grace*4/5 {
+					t.Fatalf("after %d failures it is asked again %v later, the grace is %v", failed, gap, grace)
+				}
+			}
+		}
+	}
+
+	asked := make(chan string, 64)
+	b := newBackend(t)
+	list := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		if r.URL.Query().Get("wait") == "2000" {
+			<-r.Context().Done()
+			return
+		}
+		list.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { front.CloseClientConnections(); front.Close() })
+	begin(t, configure(t, list, func(f map[string]any) {
+		withGrace(f)
+		f["discovery"] = strings.TrimPrefix(front.URL, "http://")
+	}))
+	for i, want := range []string{"", "index=1&wait=2000", "index=1&wait=0"} {
+		if query := wait(t, asked, "a call"); query != want {
+			t.Fatalf("call %d asks %q, want %q", i, query, want)
+		}
+	}
+}
+
+// answers is discovery's side of calls without a network.
+type answers func(*http.Request) io.Reader
+
+func (a answers) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(a(r)), Request: r}, nil
+}
+
+// then calls a function where a text has been read to its last byte.
+type then func()
+
+func (f then) Read([]byte) (int, error) {
+	f()
+	return 0, io.EOF
+}
+
+const oneMember = `{"revision":7,"complete":false,"members":[{"id":"s-00000001","phase":"Terminating"}]}`
+
+// The address moves as the last byte of some news is read: they are told all the same.
+func TestNewsThatWereReadAreTold(t *testing.T) {
+	l := unstarted(t, newFakeDiscovery(t))
+	ctx, cancel := context.WithCancel(context.Background())
+	l.discovery.client.Transport = answers(func(*http.Request) io.Reader {
+		cancel()
+		return strings.NewReader(oneMember)
+	})
+	l.discovery.watch(ctx, context.Background(), l, "http://127.0.0.1:1/", nil)
+	if len(l.urgent) != 1 || (<-l.urgent).(news).list.Revision != 7 {
+		t.Error("news that were read were not told")
+	}
+}
+
+// What ends a list does not come: the list is told nevertheless.
+func TestNewsDoNotWaitForTheEndOfTheirCall(t *testing.T) {
+	l := unstarted(t, newFakeDiscovery(t))
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	l.discovery.client.Transport = answers(func(r *http.Request) io.Reader {
+		if r.Context().Err() != nil {
+			return then(func() {})
+		}
+		return io.MultiReader(strings.NewReader(oneMember), then(func() { <-over }))
+	})
+	ended := make(chan struct{})
+	go func() {
+		l.discovery.watch(ctx, context.Background(), l, "http://127.0.0.1:1/", nil)
+		close(ended)
+	}()
+	defer func() { cancel(); close(over); <-ended }()
+	select {
+	case <-l.urgent:
+	case <-time.After(patience):
+		t.Error("the list was not told before its call had ended")
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -20,6 +20,7 @@
 	DialTimeout    decide.Time
 	IdleClose      decide.Time // backends close an idle connection by then
 	CounterTimeout decide.Time
+	DrainGrace     decide.Time     // for sends to a backend once its drain was told
 	Keys           map[string]bool // that were told; with .*. those that all items of a list have
 }
 
@@ -104,6 +105,7 @@
 	"ceilings.dial-timeout-us":       whole(func(d *draft) *decide.Time { return &d.host.DialTimeout }),
 	"ceilings.idle-close-us":         whole(func(d *draft) *decide.Time { return &d.host.IdleClose }),
 	"family-info.counter-timeout-us": whole(func(d *draft) *decide.Time { return &d.host.CounterTimeout }),
+	"guarantees.drain-grace-us":      whole(func(d *draft) *decide.Time { return &d.host.DrainGrace }),
 	"localities": func(d *draft, v string) error {
 		d.host.Zones = strings.Split(v, ",")
 		return nil
