Shut the listener over no waiting connection, and end the process over no open request

Wrong, in `drain.go` and `accept`: the listener was closed over its backlog, which resets connections that may hold whole requests; a connection accepted just before could be posted to a loop that had ended, or begin a request that the exit 0.3 s later cut off, as that asked for nothing; a half-written command was cut off at the exit; with deadlines under 0.3 s all was answered, and the end came, while connections were still accepted.

Now what waits in the backlog is accepted before the listener closes, and that it has closed is posted behind the last connection: the loop ends once it was told and no connection is left. Such a late connection has one command answered. What is half written when all is answered ends in order, so that its client sends it again. The steps keep their order for any deadline, and the last is before SIGKILL.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -17,12 +17,13 @@
 
 const (
 	acceptAgain = 20 * time.Millisecond
-	pipelined   = 256               // commands of one connection without an answer
-	unread      = 2 * resp.MaxValue // bytes of answers that a client has not taken
-	refuseAfter = 500_000           // advice where the gateway itself has no room
-	lingerFor   = 500_000           // for the other side to close, after the last answer,
-	lingerLost  = 200_000           // after an error that ends the connection,
-	lingerMost  = 10                // and so many times longer while it takes answers slowly
+	backlogIdle = 20 * time.Millisecond // without a new connection: none waits
+	pipelined   = 256                   // commands of one connection without an answer
+	unread      = 2 * resp.MaxValue     // bytes of answers that a client has not taken
+	refuseAfter = 500_000               // advice where the gateway itself has no room
+	lingerFor   = 500_000               // for the other side to close, after the last answer,
+	lingerLost  = 200_000               // after an error that ends the connection,
+	lingerMost  = 10                    // and so many times longer while it takes answers slowly
 
 	firstWithin   = 2500 * time.Millisecond // for a connection's first command, whole
 	commandWithin = 2500 * time.Millisecond // for any other, from its first byte: true ones take up to 2 s
@@ -48,7 +49,8 @@
 	room     chan struct{} // a place for each connection that may be open
 	most     int           // connections that are served; those beyond are refused
 	conns    map[*client]bool
-	pausing  chan struct{} // closed to have no more accepted
+	pausing  chan struct{} // closed to have no more accepted; nil: none are
+	shutting chan struct{} // closed to have no more accepted than wait by now
 	counts   clientCounts  // since the last line of them
 }
 
@@ -113,9 +115,29 @@
 
 func (cs *clients) pause() {
 	close(cs.pausing)
+	cs.pausing = nil
 	_ = cs.listener.SetDeadline(time.Unix(1, 0))
 }
 
+// shut closes the listener once all that waits in its backlog is accepted: to close it over them would
+// reset connections on which a request may have come. That it is closed is posted behind the last.
+func (cs *clients) shut(l *Loop) {
+	close(cs.shutting)
+	if cs.pausing == nil {
+		cs.resume(l)
+		return
+	}
+	_ = cs.listener.SetDeadline(time.Now().Add(backlogIdle))
+}
+
+// shutDown tells that no more connections will come.
+type shutDown struct{}
+
+func (shutDown) handle(l *Loop) {
+	l.drain.shut = true
+	l.drain.check(l)
+}
+
 // accept posts new connections. Over its share it waits: the rest stays in the
 // listener's backlog.
 func (cs *clients) accept(l *Loop, listener *net.TCPListener, pausing <-chan struct{}) {
@@ -125,9 +147,28 @@
 		case <-pausing:
 			return
 		}
+		shutting := false
+		select {
+		case <-cs.shutting:
+			shutting = true
+			_ = listener.SetDeadline(time.Now().Add(backlogIdle))
+		default:
+		}
 		conn, err := listener.AcceptTCP()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if over := errors.Is(err, net.ErrClosed); over || errors.Is(err, os.ErrDeadlineExceeded) {
 			<-cs.room
+			select {
+			case <-pausing:
+				return
+			default:
+			}
+			if !shutting && !over {
+				continue // to shut was told while it waited
+			}
+			_ = listener.Close()
+			if shutting {
+				l.post(shutDown{})
+			}
 			return
 		}
 		if err != nil { // such as a shortage of descriptors: the next may do better
@@ -158,6 +199,7 @@
 		used: now, opened: e.opened, asked: e.asked, unread: e.unread,
 	}
 	cs.conns[c] = true
+	c.parting = l.drain.closing // it came at the last moment: one command is answered
 	if l.move.given() {
 		c.parted, c.carry, c.unread = true, e.unread, nil
 		c.pass(l)
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -6,14 +6,15 @@
 // for a while.
 const (
 	acceptFor   = 500_000
+	lastFor     = 50_000    // after that for what has come at the last moment
 	longestMost = 3_000_000 // the longest deadline that the platform waits for
 	answerLeast = 200_000   // beyond the longest deadline; SIGKILL may come 0.7 s after it
 	closeFor    = 300_000   // for the other side to close after the last answer
+	killedAfter = 650_000   // beyond the longest deadline: SIGKILL is near
 )
 
-// answerFor is how long after SIGTERM all that is open is answered: by the settings in force
-// every client has stopped waiting then, and SIGKILL is still to come.
-func (c *Config) answerFor() decide.Time {
+// longest is the longest deadline of the settings in force, as far as the platform waits for it.
+func (c *Config) longest() decide.Time {
 	longest := decide.Time(0)
 	for _, limit := range c.Host.Limits {
 		if limit == 0 {
@@ -21,12 +22,21 @@
 		}
 		longest = max(longest, limit)
 	}
-	return min(longest, longestMost) + answerLeast
+	return min(longest, longestMost)
+}
+
+// answerFor is how long after SIGTERM all that is open is answered: every client that came while
+// connections were accepted has stopped waiting then or nearly, and SIGKILL is still to come.
+func (c *Config) answerFor() decide.Time { return max(c.longest()+answerLeast, acceptFor+lastFor) }
+
+// exitFor is how long after SIGTERM the process ends, whatever is open.
+func (c *Config) exitFor() decide.Time {
+	return min(c.answerFor()+closeFor, c.longest()+killedAfter)
 }
 
 // drain is the state of a planned shutdown.
 type drain struct {
-	begun, closing, answered, last bool
+	begun, closing, shut, answered bool
 }
 
 // stop begins a planned shutdown.
@@ -44,10 +54,10 @@
 		l.done = true
 		return
 	}
-	now, answerFor := l.now(), l.cfg.answerFor()
+	now := l.now()
 	l.at(now+acceptFor, drainStep{closing: true})
-	l.at(now+answerFor, drainStep{answer: true})
-	l.at(now+answerFor+closeFor, drainStep{exit: true})
+	l.at(now+l.cfg.answerFor(), drainStep{answer: true})
+	l.at(now+l.cfg.exitFor(), drainStep{exit: true})
 	l.drain.check(l)
 }
 
@@ -58,7 +68,11 @@
 	case s.closing:
 		l.drain.closing = true
 		l.door.close(!l.move.given())
-		_ = l.clients.listener.Close()
+		if l.move.given() {
+			l.drain.shut = true // its listener is closed
+		} else {
+			l.clients.shut(l)
+		}
 		for c := range l.clients.conns {
 			switch {
 			case l.move.given(): // it follows once nothing is open on it
@@ -72,6 +86,11 @@
 		// What SIGKILL would find unanswered would be lost.
 		l.drain.answered = true
 		l.failAll()
+		if !l.move.given() {
+			for c := range l.clients.conns {
+				c.end(l) // also amid a command: its client sends it again
+			}
+		}
 	case s.exit:
 		l.done = true
 	}
@@ -95,19 +114,8 @@
 	if l.move.given() && d.begun && l.open == 0 && len(l.clients.conns) == 0 {
 		l.done = true
 	}
-	if !d.closing || l.open > 0 || l.move.given() {
-		return
-	}
-	for c := range l.clients.conns {
-		if c.parting && !c.ending && !d.answered {
-			return
-		}
-	}
-	if len(l.clients.conns) == 0 {
+	if d.shut && len(l.clients.conns) == 0 {
 		l.done = true
-	} else if !d.last {
-		d.last = true
-		l.at(l.now()+closeFor, drainStep{exit: true})
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 	l.backends = newBackends(&cfg, share)
 	l.clients = &clients{
 		most: share, room: make(chan struct{}, share+max(4, share/4)), conns: map[*client]bool{},
+		shutting: make(chan struct{}),
 	}
 	var err error
 	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -312,7 +312,9 @@
 	l.move = nil
 	if !m.taken {
 		l.log.Warn("handover: this process goes on")
-		l.clients.resume(l)
+		if l.clients.pausing == nil { // else it has been resumed to be shut
+			l.clients.resume(l)
+		}
 		l.peers.resume(l)
 		l.module.Retell()
 	} else {
