Let a connection to a backend rest after an answer, as a second one may follow

Ruled out: bytes that lie there when the next request is written; those are seen (`clean`) and none was met.

Wrong: `place` took the connection used last first, and `free` gave a connection to the next attempt in the moment of its answer. A second copy that came later passed for the answer to another request, which no check can tell: answers name no request.

A connection that has carried an answer now rests 10 ms, more than twice the longest seen; what waits has its dial under way, and takes the connection once it has rested if that is first. No setting tells how late a second answer may come, so this is a constant. Tests that look for a kept connection let it rest by the injected clock first.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -49,6 +49,7 @@
 	idle    []*backendConn // the one used last at the end
 	waiting []*attempt     // for a connection, oldest first
 	dialing int
+	awaited bool // a timer is set for when an idle connection has rested
 }
 
 // backendConn is a connection to a backend. It carries one attempt at a time:
@@ -79,6 +80,13 @@
 	return n, err
 }
 
+// restFor is how long a connection rests after an answer: a second copy of that may follow some
+// milliseconds later (0.9 to 3.9 were seen), and would pass for the answer to what was written meanwhile.
+const restFor = 10_000
+
+// rests tells whether something may still come behind the last answer.
+func (c *backendConn) rests(now decide.Time) bool { return c.used > 0 && now-c.since < restFor }
+
 // clean tells whether nothing has come that no request asked for. What lies
 // there when a request is written would be taken for its answer: a second copy
 // of the last one, or noise.
@@ -140,16 +148,26 @@
 	bs.place(l, b, a)
 }
 
-// place gives an attempt the idle connection used last, or has one dialed.
-func (bs *backends) place(l *Loop, b *backend, a *attempt) {
-	trusted := l.now() - bs.keep.most(l.now())
-	for n := len(b.idle); n > 0; n = len(b.idle) {
-		c := b.idle[n-1]
-		if c.since < trusted {
+// take takes the idle connection used last that has rested; nil: there is none.
+func (bs *backends) take(l *Loop, b *backend) *backendConn {
+	now := l.now()
+	trusted := now - bs.keep.most(now)
+	for n := len(b.idle) - 1; n >= 0; n-- {
+		switch c := b.idle[n]; {
+		case c.rests(now):
+		case c.since < trusted:
 			bs.close(c)
-			continue
+		default:
+			b.idle = slices.Delete(b.idle, n, n+1)
+			return c
 		}
-		b.idle = b.idle[:n-1]
+	}
+	return nil
+}
+
+// place gives an attempt an idle connection, or has one dialed.
+func (bs *backends) place(l *Loop, b *backend, a *attempt) {
+	for c := bs.take(l, b); c != nil; c = bs.take(l, b) {
 		if bs.write(l, c, a) {
 			return
 		}
@@ -158,9 +176,41 @@
 	if a.r != nil {
 		a.r.waits = a
 	}
+	bs.await(l, b)
 	bs.connect(l, b)
 }
 
+// await has attempts that wait look again for an idle connection as soon as one has rested: a dial
+// may take longer.
+func (bs *backends) await(l *Loop, b *backend) {
+	if len(b.waiting) == 0 || b.awaited {
+		return
+	}
+	for _, c := range b.idle {
+		if c.rests(l.now()) {
+			b.awaited = true
+			l.at(c.since+restFor, rested{b})
+			return
+		}
+	}
+}
+
+// rested tells that a connection has rested for which attempts may wait.
+type rested struct{ b *backend }
+
+func (e rested) due(l *Loop) {
+	bs, b := l.backends, e.b
+	b.awaited = false
+	for len(b.waiting) > 0 {
+		c := bs.take(l, b)
+		if c == nil {
+			break
+		}
+		bs.give(l, c)
+	}
+	bs.await(l, b)
+}
+
 // forgo ends an attempt that waits for a connection: it never was sent.
 func (bs *backends) forgo(l *Loop, a *attempt) {
 	if a == nil {
@@ -255,7 +305,8 @@
 	bs.free(l, c)
 }
 
-// free gives a connection to the attempt that has waited longest, or keeps it.
+// free gives a new connection to the attempt that has waited longest. One that has carried an answer
+// rests first.
 func (bs *backends) free(l *Loop, c *backendConn) {
 	b := c.b
 	if b.state != decide.Ready && len(b.waiting) == 0 || !c.out.idle() {
@@ -265,6 +316,23 @@
 		bs.connect(l, b)
 		return
 	}
+	if c.used == 0 {
+		bs.give(l, c)
+		return
+	}
+	bs.idles(l, c)
+	bs.await(l, b)
+}
+
+// idles keeps a connection.
+func (bs *backends) idles(l *Loop, c *backendConn) {
+	c.since = l.now()
+	c.b.idle = append(c.b.idle, c)
+}
+
+// give gives a connection to the attempt that has waited longest, or keeps it.
+func (bs *backends) give(l *Loop, c *backendConn) {
+	b := c.b
 	for len(b.waiting) > 0 {
 		a := b.waiting[0]
 		b.waiting = b.waiting[1:]
@@ -281,8 +349,7 @@
 			return
 		}
 	}
-	c.since = l.now()
-	b.idle = append(b.idle, c)
+	bs.idles(l, c)
 }
 
 // write writes an attempt to an idle connection. It tells whether the attempt
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -311,6 +311,7 @@
 		second := b.next(t)
 		second.serve(t, "second")
 		other.value("second") // its connection is idle by now
+		r.rest(t)
 		if !alive {
 			second.conn.Close()
 		}
@@ -338,6 +339,7 @@
 	}
 	c.value("ok")
 	other.value("ok")
+	r.rest(t)
 	c.lookup(3, "60000")
 	stale := b.next(t)
 	if stale.conn != first.conn && stale.conn != second.conn {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -206,6 +206,24 @@
 	ended   chan struct{}
 }
 
+// rest waits until a connection to a backend is idle, and lets it rest for long enough to be used again.
+func (r *rig) rest(t testing.TB) {
+	t.Helper()
+	for idle := false; !idle; {
+		told := make(chan bool, 1)
+		r.loop.post(inspect(func(l *Loop) {
+			for _, b := range l.backends.byNumber {
+				idle = idle || len(b.idle) > 0
+			}
+			if idle {
+				l.clock.wall += restFor
+			}
+			told <- idle
+		}))
+		idle = wait(t, told, "the loop")
+	}
+}
+
 // stop begins a planned shutdown.
 func (r *rig) stop() { r.once.Do(func() { close(r.stopped) }) }
 
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"mothcleat/decide"
 )
@@ -52,6 +53,45 @@
 	}
 }
 
+// A second answer comes some milliseconds behind the first, when the next request would long be
+// out: the connection has not been used again by then, and an attempt that waits takes it only
+// once it has rested.
+func TestConnectionRestsAfterAnAnswer(t *testing.T) {
+	for name, late := range map[string]bool{"nothing follows": false, "a second answer": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t)
+			l := unstarted(t, newFakeDiscovery(t))
+			l.backends.members(l, decide.Whole, []member{
+				{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}})
+			first := &attempt{sent: l.now(), until: l.now() + 1e9}
+			l.backends.start(l, first, 1)
+			wait(t, l.events, "the dial").handle(l)
+			used := first.conn
+			call := b.next(t)
+			call.answer(t, "+PONG\r\n")
+			_, letGo := heldDials(l)
+			defer close(letGo)
+			answered := wait(t, l.events, "the answer")
+			l.clock.start = time.Now().Add(time.Hour) // time stands still from here on
+			answered.handle(l)
+			second := &attempt{sent: l.now(), until: l.now() + 1e9}
+			l.backends.start(l, second, 1)
+			if second.conn != nil {
+				t.Fatal("the connection was used at once")
+			}
+			if late {
+				call.answer(t, "+PONG\r\n")
+				wait(t, l.events, "the second answer").handle(l)
+			}
+			l.last += restFor
+			l.fire()
+			if got := second.conn == used; got == late {
+				t.Errorf("the connection was used: %t", got)
+			}
+		})
+	}
+}
+
 // An answer that can't be read is one failed attempt and ends one connection.
 // The others to that backend go on: its process has not died.
 func TestSpoiltAnswerEndsOneConnection(t *testing.T) {
@@ -69,6 +109,7 @@
 			fine := b.next(t)
 			fine.serve(t, "fine")
 			other.value("fine")
+			r.rest(t)
 			spoilt.answer(t, answer)
 			again := b.next(t)
 			again.serve(t, "again")
--- a/internal/gateway/values_test.go
+++ b/internal/gateway/values_test.go
@@ -54,6 +54,7 @@
 	c.read(largeSize - relayFirst)
 	c.want("")
 	for id := 2; id < 4; id++ {
+		r.rest(t)
 		c.book(id, "team")
 		next := b.next(t)
 		if next.conn != call.conn {
