Dial anew where a backend has started anew while a dial was under way

Ruled out: idle connections of the process before, which `members` closes, and records of members that leave and return, which stay while anything waits for them or a dial is under way.

A dial now carries when its backend was last told to have started.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -235,14 +235,14 @@
 		b.dialing++
 		bs.open++
 		bs.dialed++
-		go func(address string) {
+		go func(address string, upSince int64) {
 			conn, err := bs.dial.DialContext(context.Background(), "tcp", address)
-			e := dialed{b: b, address: address, err: err}
+			e := dialed{b: b, address: address, upSince: upSince, err: err}
 			if err == nil {
 				e.conn = conn.(*net.TCPConn)
 			}
 			l.post(e)
-		}(b.address)
+		}(b.address, b.upSince)
 	}
 }
 
@@ -272,6 +272,7 @@
 type dialed struct {
 	b       *backend
 	address string
+	upSince int64 // as it was told when the dial began
 	conn    *net.TCPConn
 	err     error
 }
@@ -296,8 +297,8 @@
 		return
 	}
 	c := &backendConn{b: b, conn: e.conn, out: newSender(e.conn), gone: make(chan struct{}), passTo: make(chan *client, 1)}
-	if e.address != b.address {
-		bs.close(c)
+	if e.address != b.address || e.upSince != b.upSince {
+		bs.close(c) // it leads to where the backend was, or to the process before
 		bs.connect(l, b)
 		return
 	}
--- a/internal/gateway/crossings_test.go
+++ b/internal/gateway/crossings_test.go
@@ -11,6 +11,7 @@
 // heldDials is a gateway's backends whose dials wait until a test lets them go on.
 func heldDials(l *Loop) (begun chan string, letGo chan struct{}) {
 	begun, letGo = make(chan string, 16), make(chan struct{})
+	l.backends.dial.Timeout = 0
 	l.backends.dial.Control = func(_, address string, _ syscall.RawConn) error {
 		begun <- address
 		<-letGo
@@ -121,3 +122,25 @@
 		t.Errorf("outcomes %q, want %q", ended, want)
 	}
 }
+
+// A backend starts anew at its address while a dial to it is under way: the connection may lead to
+// the process before, and another is dialed.
+func TestDialOutlivedByItsBackendIsMadeAnew(t *testing.T) {
+	b := newBackend(t)
+	l := unstarted(t, newFakeDiscovery(t))
+	m := member{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}
+	l.backends.members(l, decide.Whole, []member{m})
+	begun, letGo := heldDials(l)
+	a := &attempt{sent: l.now(), until: l.now() + 1e9}
+	l.backends.start(l, a, 1)
+	wait(t, begun, "the dial")
+	m.UpSince = 1_000_000_000_000
+	l.backends.members(l, decide.Changed, []member{m})
+	close(letGo)
+	handle(t, l, "the dial's end")
+	wait(t, b.ended, "the end of the first connection")
+	handle(t, l, "the second dial's end")
+	if b.next(t); len(b.got) > 0 || a.conn == nil {
+		t.Errorf("%d further commands, connection %v", len(b.got), a.conn)
+	}
+}
