--- a/decide/decide.go
+++ b/decide/decide.go
@@ -750,6 +750,7 @@
 	if ceiling {
 		c.ceiling.level -= q.Units
 	}
+	r.lent, r.capped = !inside, ceiling
 	g.again = math.Min(againMost, g.again+againShare)
 	g.requests[q.ID] = r
 	g.send(r, b)
@@ -790,6 +791,7 @@
 	a.pending = false
 	g.counts.outcomes[o.Result]++
 	a.mayRun = o.Result != Full && o.Result != ConnectFailed && o.Result != Moot
+	r.sent = r.sent || o.Result != Moot
 	g.settle(r, a, &o)
 	r.over = r.over || o.Over
 	if r.pending() {
@@ -797,6 +799,7 @@
 	}
 	if r.over {
 		delete(g.requests, o.ID)
+		g.giveBack(r)
 		return
 	}
 	price := unrunPrice
@@ -812,6 +815,7 @@
 		}
 	}
 	delete(g.requests, o.ID)
+	g.giveBack(r)
 	if refuse {
 		g.refuse(o.ID, turnedAway, g.shortAim/2)
 	} else {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1450,3 +1450,54 @@
 	tellAll(a, b)
 	near(t, "level after 4 of 8 units were given back and 1 came", b.customers[9].store.level, level+4+1)
 }
+
+// What was never sent has taken nothing: its units go back to the bank that they came from and to
+// the ceiling, once, and none of what was sent does.
+func TestUnitsOfWhatWasNeverSentGoBack(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		plan int
+		ends []Result
+		kept float64
+	}{
+		{"never sent", 2, []Result{Moot}, 0},
+		{"never sent, three times", 2, []Result{Moot, Moot, Moot}, 0},
+		{"turned away after that", 2, []Result{Moot, Full, Moot}, 2},
+		{"served after that", 2, []Result{Moot, OK}, 2},
+		{"no ceiling", 0, []Result{Moot, Moot, Moot}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, settings())
+			r.serve(0, c.plan, 9, 1)
+			of := r.customers[9]
+			store, ceiling, taken := of.store.level, of.ceiling.level, of.taken
+			id, _ := r.ask(0, c.plan, 9, 2)
+			for i, result := range c.ends {
+				r.end(id, result, result == OK || len(c.ends) == 1 && i == 0)
+			}
+			if r.requests[id] != nil {
+				t.Fatal("the request is still held")
+			}
+			near(t, "store", of.store.level, store-c.kept)
+			near(t, "taken", of.taken, taken+c.kept)
+			if set := &r.set.Plans[c.plan]; set.CeilingRate > 0 {
+				near(t, "ceiling", of.ceiling.level, ceiling-c.kept)
+			}
+		})
+	}
+}
+
+// Bank 0 gets back what it lent.
+func TestWhatWasLentForNothingGoesBackToBankZero(t *testing.T) {
+	r := newRig(t, settings())
+	r.lend.level = r.lend.cap
+	for r.serve(0, 1, 9, 2) && r.lend.level == r.lend.cap {
+	}
+	before := r.lend.level
+	id, sent := r.ask(0, 1, 9, 2)
+	if !sent || r.lend.level >= before {
+		t.Fatalf("sent %t, bank 0 from %g to %g: nothing was lent", sent, before, r.lend.level)
+	}
+	r.end(id, Moot, true)
+	near(t, "bank 0", r.lend.level, before)
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -155,6 +155,9 @@
 	c        *customer
 	attempts []*attempt
 	over     bool
+	sent     bool // an attempt may have reached a backend
+	lent     bool // its units came from bank 0
+	capped   bool // and were taken from the ceiling here
 }
 
 func (r *request) tried(b *backend) bool {
@@ -325,6 +328,22 @@
 	g.notes[peer] = grant{id: c.id, part: c.grant}.put(g.begun(peer))
 }
 
+// giveBack returns what a request took that was never sent: units are taken by what reaches a backend.
+func (g *Gateway) giveBack(r *request) {
+	if r.sent {
+		return
+	}
+	g.refill(r.c)
+	if r.lent {
+		g.lend.level = math.Min(g.lend.cap, g.lend.level+r.Units)
+	} else {
+		g.take(r.c, r.home, -r.Units)
+	}
+	if r.capped {
+		r.c.ceiling.level = math.Min(r.c.ceiling.cap, r.c.ceiling.level+r.Units)
+	}
+}
+
 // Holds tells whether an attempt that was kept from being written may still be: its request is
 // open, its backend ready, and no copy of what may have run is made that must not be.
 func (g *Gateway) Holds(now Time, id uint64, number int) bool {
