Test that the fleet keeps a quota through shifts, lost notes and restarts

At 3, 40 and 300 gateways, counted over all against one true store: a new set, traffic that moves every four seconds, one note or grant in ten lost, a gateway that starts anew every five seconds. The test fails where a home does not take off what it grants.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1501,3 +1501,91 @@
 	r.end(id, Moot, true)
 	near(t, "bank 0", r.lend.level, before)
 }
+
+// Guards against units beyond the quota through the whole fleet: with a set that nobody has seen,
+// traffic that shifts, a tenth of all notes and grants lost, and gateways that start anew.
+func TestTheFleetKeepsAQuotaThroughShiftsLossesAndRestarts(t *testing.T) {
+	for _, gateways := range []int{3, 40, 300} {
+		set := settings()
+		set.Gateways, set.MailPerSecond, set.MaxUnits = gateways, 40, 8
+		set.Plans[0] = Plan{Name: "large", Rate: 40, Burst: 64, Price: 1, BeyondCosts: 1}
+		spread := min(gateways, 40)
+		rigs := make([]*rig, gateways)
+		begin := func(i int, at Time) {
+			f := &fake{}
+			own := set
+			own.Self = i
+			g, err := New(own, uint64(at)<<20+uint64(i), f) // another life
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.Members(at, Cached, members(4))
+			rigs[i] = &rig{Gateway: g, fake: f, t: t}
+		}
+		for i := range rigs {
+			begin(i, start)
+		}
+		notes := 0
+		carryAll := func(at Time) {
+			for carried := true; carried; {
+				carried = false
+				for from, r := range rigs[:spread] {
+					told := r.done
+					r.done = nil
+					for _, l := range told {
+						var to int
+						var note []byte
+						if n, _ := fmt.Sscanf(l, "tell %d %x", &to, &note); n != 2 {
+							continue
+						}
+						if notes++; notes%10 != 0 && to < spread {
+							rigs[to].Peer(at, from, note)
+							carried = true
+						}
+					}
+				}
+			}
+		}
+		const seconds, step = 20, second / 50
+		truth := bank{level: 64, rate: 40, cap: 64, at: start}
+		inside, beyond, asked := 0.0, 0.0, 0.0
+		id := uint64(0)
+		for i := range seconds * 50 { // 100 units a second, that come to other gateways every four seconds
+			at := start + second + Time(i)*step
+			if i%250 == 249 {
+				begin(i%spread, at)
+			}
+			if i%2 == 0 {
+				for _, r := range rigs[:spread] {
+					r.Timer(at, noteToken)
+				}
+				carryAll(at)
+			}
+			to := (i/200*7 + i%3) % spread
+			r := rigs[to]
+			id++
+			r.done = nil
+			asked += 2
+			r.Request(at, Request{ID: id, Customer: 9, Units: 2, Grace: 4 * second, Spread: spread})
+			carryAll(at)
+			if r.requests[id] != nil && len(r.requests[id].attempts) == 0 { // its ask or the grant was lost
+				r.Timer(at+second/10, askToken)
+				carryAll(at)
+			}
+			if q := r.requests[id]; q != nil && len(q.attempts) > 0 {
+				if truth.refill(at); truth.level >= 2 {
+					truth.level -= 2
+					inside += 2
+				} else {
+					beyond += 2
+				}
+				r.Outcome(at, Outcome{ID: id, Backend: q.attempts[0].b.Backend, Result: OK, Over: true})
+			}
+		}
+		most := 64 + 40.0*seconds
+		if beyond > 0.1*most || inside < 0.6*most {
+			t.Errorf("%d gateways: of %.0f units asked %.0f were sent inside the quota of %.0f, and %.0f beyond it",
+				gateways, asked, inside, most, beyond)
+		}
+	}
+}
