Let an older list from a new address make no draining backend ready

Seen on reading: a new configuration moves discovery, and the list there is taken whole whatever its version. Where that address is behind the one before, a backend told as draining became ready again and was sent to, past the grace of its drain.

Ruled out: an older answer from one address, where changes older than the version held are refused (`get`).

Wrong: `news.handle` compared no versions. Now what was told as draining stays so under an older list, until one as new says otherwise or the backend has started anew. A backend told as gone has no record left, and such a list brings it back until the address has caught up: open.

The test fails without the change and passed 20 times with -race.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -76,6 +76,7 @@
 	once    bool
 	zones   []string // by number, this gateway's own first
 	heard   bool     // the loop's: something was told
+	newest  uint64   // the loop's: the highest version told
 }
 
 func newDiscovery(cfg *Config) *discovery {
@@ -139,10 +140,27 @@
 		return
 	}
 	l.discovery.heard = true
+	n.keepDrains(l)
 	l.backends.members(l, n.kind, n.list.Members)
 	l.ready()
 }
 
+// keepDrains has an older list, as another address may tell it at first, make no backend ready that was
+// told as draining by a newer one, unless it has started anew since.
+func (n news) keepDrains(l *Loop) {
+	d := l.discovery
+	if n.list.Revision >= d.newest {
+		d.newest = n.list.Revision
+		return
+	}
+	for i := range n.list.Members {
+		m := &n.list.Members[i]
+		if b := l.backends.byID[m.ID]; b != nil && b.state == decide.Draining && b.told.UpSince == m.UpSince {
+			m.Phase = b.told.Phase
+		}
+	}
+}
+
 // move has the list followed at another address. Only the loop calls it.
 func (d *discovery) move(address string) {
 	select {
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"mothcleat/decide"
 )
 
 // withGrace gives the settings a grace for drains, as a deployment with a pushed list has.
@@ -110,3 +112,34 @@
 		t.Error("the list was not told before its call had ended")
 	}
 }
+
+// The list at a new address is older than what was told at the one before: a backend that was told
+// as draining stays so until a list as new says otherwise, or it has started anew.
+func TestOlderListMakesNothingReadyThatDrains(t *testing.T) {
+	l := unstarted(t, newFakeDiscovery(t))
+	tell := func(revision uint64, kind decide.News, phase string, upSince int64) decide.State {
+		l.handle(news{kind, memberList{revision, kind == decide.Whole, []member{
+			{ID: "s-00000001", HostPort: "127.0.0.1:9", Phase: phase, UpSince: upSince}}}})
+		return l.backends.byID["s-00000001"].state
+	}
+	for i, step := range []struct {
+		revision uint64
+		kind     decide.News
+		phase    string
+		upSince  int64
+		want     decide.State
+	}{
+		{5, decide.Whole, "Ready", 0, decide.Ready},
+		{7, decide.Changed, "Terminating", 0, decide.Draining},
+		{6, decide.Whole, "Ready", 0, decide.Draining},
+		{6, decide.Whole, "Ready", 1000, decide.Ready},
+		{7, decide.Changed, "Terminating", 1000, decide.Draining},
+		{7, decide.Changed, "Ready", 1000, decide.Ready},
+		{8, decide.Changed, "Terminating", 1000, decide.Draining},
+		{9, decide.Whole, "Ready", 1000, decide.Ready},
+	} {
+		if got := tell(step.revision, step.kind, step.phase, step.upSince); got != step.want {
+			t.Errorf("step %d: state %d, want %d", i, got, step.want)
+		}
+	}
+}
