Fix the address of a watch before it runs beside a move of discovery

A watch so begun would have asked the new address from the old one's version; the call was cancelled at once, so no wrong list was seen.

The address is taken before the goroutine starts. Clean 20 times with -race.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -181,10 +181,10 @@
 	version := d.known // told by another address it would say nothing of this one's list
 	for address := d.address; ctx.Err() == nil; version = nil {
 		watching, cancel := context.WithCancel(ctx)
-		ended := make(chan struct{})
+		ended, url := make(chan struct{}), "http://"+address+"/catalog/members"
 		go func() {
 			defer close(ended)
-			d.watch(watching, ctx, l, "http://"+address+"/catalog/members", version)
+			d.watch(watching, ctx, l, url, version)
 		}()
 		select {
 		case address = <-d.moved:
