Have a refused discovery call's pause and the next call end within the 6 s term

Where one service is asked, a refused call came again after up to half, later twice the time to ask within: 5 to 20 s with the settings at hand. In force now: a change counts as told 6 s after discovery had it and could be reached, whatever call was refused.

What stays: gateways that ask each within the term make fleet / 4.9 calls a second.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -49,6 +49,7 @@
 const (
 	watchWait  = 2 * time.Second        // short: a watch that hangs hides all news until it is given up
 	watchSlack = time.Second            // for an answer after the wait is over; discovery itself fails a call first
+	toldWithin = 6 * time.Second        // what discovery has counts as told by then, whatever call failed (the protocol)
 	retryAfter = 100 * time.Millisecond // after a call that failed: drawn from up to so much,
 	retryMost  = 2 * time.Second        // doubled with each in a row up to this, where all call one service
 	tooSoon    = 50 * time.Millisecond  // for a watch that tells nothing
@@ -70,8 +71,7 @@
 	client  *http.Client
 	asks    bool          // discovery tells only who asks: one service for the whole fleet; else an agent beside us
 	slack   time.Duration // for an answer after a call's wait is over
-	first   time.Duration // the longest pause after a call that was refused,
-	retry   time.Duration // and after many in a row
+	pause   time.Duration // the longest after a call that was refused, or failed in whatever way at an agent
 	start   chan struct{} // closed when the list is to be followed
 	once    bool
 	zones   []string // by number, this gateway's own first
@@ -83,25 +83,23 @@
 	d := &discovery{
 		address: cfg.Discovery, moved: make(chan string, 1),
 		rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed>>32)),
-		asks: cfg.Settings.AskMembers, first: retryAfter, retry: retryMost, start: make(chan struct{}), zones: cfg.Host.Zones,
+		asks: cfg.Settings.AskMembers, pause: retryAfter, start: make(chan struct{}), zones: cfg.Host.Zones,
 		slack: watchSlack,
 	}
-	if grace := time.Duration(cfg.Host.DrainGrace) * time.Microsecond; !d.asks && grace > 0 {
+	if d.asks {
+		// The call after the pause has its wait, and is over before what the refused one had to tell
+		// counts as told.
+		d.pause = toldWithin - watchWait - watchSlack - retryAfter
+	} else if grace := time.Duration(cfg.Host.DrainGrace) * time.Microsecond; grace > 0 {
 		// The agent answers at once, or is silent, and what it has counts as told the moment that it
 		// has it: a call and the pause behind it are over well within the grace of a drain.
-		d.slack, d.first = min(watchSlack, grace/2), min(retryAfter, grace/5)
-		d.retry = d.first
+		d.slack, d.pause = min(watchSlack, grace/2), min(retryAfter, grace/5)
 	}
 	d.client = &http.Client{CheckRedirect: stay, Transport: &http.Transport{
 		// A dial goes on though its call is given up, and keeps the next call waiting.
 		DialContext:     (&net.Dialer{Timeout: d.slack}).DialContext,
 		MaxConnsPerHost: 1, MaxIdleConns: 1, DisableCompression: true, MaxResponseHeaderBytes: mostHeader,
 	}}
-	if within := time.Duration(cfg.Settings.AskWithin) * time.Microsecond; d.asks && within > 0 {
-		// One service answers the whole fleet, and works also on calls that have timed out: those that
-		// came at once and failed must come again over a time in which it can serve them all.
-		d.first, d.retry = within/2, 2*within
-	}
 	if cfg.Known.Complete {
 		d.known = &cfg.Known.Revision
 	}
@@ -213,7 +211,8 @@
 		case <-whole.Done():
 		}
 	}
-	wait, failed := time.Duration(0), 0 // at first what is known at once: a start waits for it
+	wait := time.Duration(0) // at first what is known at once: a start waits for it
+	failed, refused := 0, 0  // calls in a row, and those of them that discovery has answered
 	for ctx.Err() == nil {
 		called := time.Now()
 		list, end, err := d.get(ctx, url, version, wait)
@@ -225,14 +224,19 @@
 				version = nil
 			}
 			if failed&(failed-1) == 0 { // fewer and fewer of many in a row
-				l.log.Warn("discovery", "error", err, "failed_before", failed)
+				l.log.Warn("discovery", "error", err, "failed_before", failed, "took", time.Since(called))
 			}
 			if d.asks {
 				tell(news{kind: decide.Unheard})
 			} else {
 				wait = 0
 			}
-			pause(d.backoff(failed, err))
+			if errors.Is(err, errBusy) {
+				pause(d.backoff(refused, err))
+				refused++
+			} else {
+				pause(d.backoff(failed, err))
+			}
 			failed++
 			continue
 		}
@@ -245,19 +249,28 @@
 		if wait > 0 && len(list.Members) == 0 && time.Since(called) < tooSoon {
 			pause(tooSoon) // a watch that does not wait must not become a busy loop
 		}
-		version, wait, failed = &list.Revision, watchWait, 0
+		version, wait, failed, refused = &list.Revision, watchWait, 0, 0
 	}
 }
 
-// backoff is the pause after a call that failed, as so many in a row before it did: drawn, as what
-// fails for one gateway fails for the whole fleet at that moment. What a call that was never
-// answered had to tell counts as told some seconds later: the next one follows soon.
+// backoff is the pause after a call that failed, as so many in a row before it did (where it was
+// refused, as so many refused ones): drawn, as what fails for one gateway fails for the whole fleet at
+// that moment. What a call that was never answered had to tell counts as told some seconds later: the
+// next one follows soon. One service that has refused the whole fleet is called again by each in the
+// same time: the first calls are spread over it, and the further ones come at a steady pace, so that
+// they stay spread.
 func (d *discovery) backoff(failed int, err error) time.Duration {
-	first, most := retryAfter, retryMost
-	if !d.asks || errors.Is(err, errBusy) {
-		first, most = d.first, d.retry
+	least, most := time.Duration(0), min(retryAfter<<min(failed, 16), retryMost)
+	switch {
+	case !d.asks:
+		most = d.pause
+	case errors.Is(err, errBusy):
+		most = d.pause
+		if failed > 0 {
+			least = most * 9 / 10
+		}
 	}
-	return time.Duration(d.rand.Int64N(int64(min(first<<min(failed, 16), most)))) + time.Millisecond
+	return least + time.Duration(d.rand.Int64N(int64(most-least))) + time.Millisecond
 }
 
 // errBusy tells that discovery has answered that it can't answer now.
