Run the largest fleet of the term's test with the hardest service alone

6,500 gateways before three services took 22 s and 1.8 GB under the race detector. The weakest service is the one that binds; 3 and 300 gateways keep all three.

--- a/internal/gateway/term_test.go
+++ b/internal/gateway/term_test.go
@@ -197,6 +197,9 @@
 	oneService(&cfg)
 	for _, gateways := range []int{3, 300, 6500} {
 		for _, needs := range []time.Duration{1, 2, 4} { // seconds in which it serves as many calls as there are gateways
+			if gateways > 300 && needs < 4 {
+				continue // the hardest of them: so many take seconds and a gigabyte under the race detector
+			}
 			t.Run(fmt.Sprintf("%d gateways, all served in %d s", gateways, needs), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					q := &queueing{each: needs * time.Second / time.Duration(gateways), up: time.Now().Add(8 * time.Second),
