Hold the descriptors of all parts together within the limit, also the least one

Seen: a gateway with 32 descriptors (the least that the configuration may state), every part of it taken at once: SIGHUP was turned down as its file could not be opened, and discovery could not be dialed ("too many open files"), with the operators' listener and the handover's door in the same state.

Counted, at most: standard streams 3, poller 2, control group 2 (the runtime keeps both files open), listener, peers, door, one process at it, configuration, discovery at two addresses, operators' listener and 12 + 1 callers: 28, with the counter at two addresses 36. Left by clients and backends: 22 of 32, 28 of 64, 49 of 256, 124 of 1,024.

Ruled out: connections beyond `room` (a place is taken before each accept), dials beyond the backends' share (counted before they begin), a second dial to one address of discovery (one connection a host), a closed caller that still holds its descriptor (Close waits for it).

Operators now have a sixteenth of the limit in places, 2 to 12, and the shares never count on more than all others leave. At most open, without and with the counter: 38 and 46 of 32 before, 28 and 32 now; 64 and 72 of 64 before, 56 and 64 now; 235 and 243 of 256, 928 and 936 of 1,024 as before. Shares change only below 64 descriptors with a counter (32: 1 in place of 3).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,10 +10,7 @@
 	"mothcleat/decide"
 )
 
-const (
-	queued     = 1024 // events that wait for the loop
-	otherFiles = 48   // descriptors for all but clients and backends
-)
+const queued = 1024 // events that wait for the loop
 
 // Run serves until it is told to stop and all that was taken is answered.
 func Run(cfg Config, log *slog.Logger, control Control) error {
@@ -54,19 +51,18 @@
 	}
 	l.use(&cfg)
 	l.timer.Stop()
-	// Two in five descriptors are for clients, as many for backends, some spare.
 	limitMemory(&cfg, 1)
-	share := (cfg.Sockets - otherFiles/2) * 2 / 5
-	l.backends = newBackends(&cfg, share)
+	files := shareOut(cfg.Sockets, l.counter.on)
+	l.backends = newBackends(&cfg, files.share)
 	l.clients = &clients{
-		most: share, room: make(chan struct{}, share+max(4, share/4)), conns: map[*client]bool{},
+		most: files.share, room: make(chan struct{}, files.room), conns: map[*client]bool{},
 		shutting: make(chan struct{}),
 	}
 	var err error
 	if l.module, err = decide.New(cfg.Settings, cfg.Seed, l); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	if l.ops, err = newOps(cfg.Ops, l.figures); err != nil {
+	if l.ops, err = newOps(cfg.Ops, l.figures, files.callers); err != nil {
 		return nil, err
 	}
 	l.inherit = claim(&cfg, log)
--- a/internal/gateway/ops.go
+++ b/internal/gateway/ops.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	opsCallers  = 12 // connections of operators at once
+	opsCallers  = 12 // connections of operators at once, where descriptors are not few
 	opsWithin   = time.Second
 	opsHeader   = 4 << 10
 	opsLineText = "text/plain; charset=utf-8"
@@ -22,6 +22,7 @@
 	listener net.Listener
 	server   *http.Server
 	figures  *figures
+	most     int         // callers at once
 	ready    atomic.Bool // this process takes clients
 
 	mu      sync.Mutex
@@ -29,8 +30,8 @@
 }
 
 // newOps listens for operators; without an address there is nothing to listen at.
-func newOps(address string, f *figures) (*ops, error) {
-	o := &ops{figures: f}
+func newOps(address string, f *figures, most int) (*ops, error) {
+	o := &ops{figures: f, most: most}
 	if address == "" {
 		return o, nil
 	}
@@ -69,7 +70,7 @@
 	switch s {
 	case http.StateNew:
 		o.callers = append(o.callers, conn)
-		if len(o.callers) > opsCallers {
+		if len(o.callers) > o.most {
 			_ = o.callers[0].Close()
 			o.callers = o.callers[1:]
 		}
