Count on the process's own limit of open files where it is lower than the configured one

Cause: shares were cut from `limits.sockets` alone. With 1,024 stated and 48 to be had, 400 places were promised: the crowd took every descriptor, and true clients, discovery and backends found none.

Now the lower of the two counts, and one line says so. The runtime raises the soft limit to the hard one at the start; what is read is what is in force then. Where the limit can't be read, or is higher, all stays as it was. With under 32 the program ends with one line and status 1, before it opens anything: with six the runtime itself ended with "netpollinit failed" and a trace. `limits.sockets` stays what a reload compares with.

--- a/cmd/mothcleat/main.go
+++ b/cmd/mothcleat/main.go
@@ -24,10 +24,16 @@
 func run() error {
 	// Before all else: a signal that comes early must not end the program.
 	control := signals()
+	// And before any file is opened: with too few descriptors the runtime itself ends, and says less.
+	files, err := gateway.Files()
+	if err != nil {
+		return err
+	}
 	cfg, err := control.Read()
 	if err != nil {
 		return err
 	}
+	cfg.Files = files
 	// One core, and memory well below the limit at which the platform kills.
 	// The heap is small: collecting it less often costs little and saves CPU.
 	runtime.GOMAXPROCS(1)
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -24,6 +24,7 @@
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
+	Files     int    // descriptors that the process may open; 0: not known
 	Ops       string // where operators call; empty: nowhere
 
 	PeerListen string
--- a/internal/gateway/files.go
+++ b/internal/gateway/files.go
@@ -1,5 +1,12 @@
 package gateway
 
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"syscall"
+)
+
 // The descriptors for neither clients nor backends, at most.
 const (
 	runtimeFiles   = 7              // standard streams 3, the poller and what wakes it 2, the control group's limit 2
@@ -32,3 +39,24 @@
 	f.room = f.share + max(leastBeyond, f.share/4)
 	return f
 }
+
+// Files is how many descriptors the process may open; an error where none can serve with so few.
+func Files() (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32, nil // not known: what the configuration states holds
+	}
+	if limit.Cur < leastSockets {
+		return 0, fmt.Errorf("limit of open files: %d, at least %d wanted", limit.Cur, leastSockets)
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
+
+// sockets is how many descriptors to count on: the configuration may state more than the process gets.
+func (c *Config) sockets(log *slog.Logger) int {
+	if c.Files == 0 || c.Files >= c.Sockets {
+		return c.Sockets
+	}
+	log.Warn("fewer descriptors than configured", "limits.sockets", c.Sockets, "limit_of_open_files", c.Files)
+	return c.Files
+}
--- a/internal/gateway/files_test.go
+++ b/internal/gateway/files_test.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "testing"
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
 
 // All that may be open at once fits, whatever the limit; where descriptors are not few, clients and
 // backends get two in five each.
@@ -28,3 +33,28 @@
 		}
 	}
 }
+
+// The lower of two limits counts, and one line says so.
+func TestLowerLimitCounts(t *testing.T) {
+	for _, c := range []struct{ configured, process, want, lines int }{
+		{1024, 0, 1024, 0}, {1024, 1024, 1024, 0}, {256, 20000, 256, 0}, {1024, 256, 256, 1},
+	} {
+		var log bytes.Buffer
+		cfg := configure(t, newFakeDiscovery(t), func(f map[string]any) {
+			f["limits"] = map[string]any{"sockets": c.configured}
+		})
+		cfg.Files = c.process
+		l, err := newLoop(cfg, slog.New(slog.NewTextHandler(&log, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.clients.listener.Close()
+		want := shareOut(c.want, false)
+		if l.clients.most != want.share || cap(l.clients.room) != want.room || l.backends.most != want.share {
+			t.Errorf("%+v: %d clients, %d in all, %d to backends", c, l.clients.most, cap(l.clients.room), l.backends.most)
+		}
+		if n := strings.Count(log.String(), "fewer descriptors than configured"); n != c.lines {
+			t.Errorf("%+v: %d lines", c, n)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 	l.use(&cfg)
 	l.timer.Stop()
 	limitMemory(&cfg, 1)
-	files := shareOut(cfg.Sockets, l.counter.on)
+	files := shareOut(cfg.sockets(log), l.counter.on)
 	l.backends = newBackends(&cfg, files.share)
 	l.clients = &clients{
 		most: files.share, room: make(chan struct{}, files.room), conns: map[*client]bool{},
