Keep no client that asks out for connections that have only just come

Seen, on trials with 32, 64, 256 and 1,024 descriptors, twice as many idle clients that come again at once, discovery down and then back with a changed list: 25 requests of true clients were refused 613, 78, 67 and 25 times; at 32 most got no answer but refusals for 30 s.

Cause, in `refusal`: where no connection may be shut for a client's first request, that one was refused.

Ruled out: shutting newcomers, which may be true clients with a request not yet read; descriptors, as the connection has its place already; discovery, which was heard at its return each time; the backends' share.

Now one is over the share only where more ask than the share is for. The tests fail with the change taken out; the one by hand passed 20 times, the one with processes 10 times with -race.

--- a/cmd/mothcleat/crowd_test.go
+++ b/cmd/mothcleat/crowd_test.go
@@ -66,6 +66,82 @@
 	}
 }
 
+// Idle clients take every place there is while discovery is down, and more than as many again wait. All
+// others are served: discovery is heard at its return and what it tells is kept to, operators and
+// true clients get their answers, and no call for a descriptor ever fails.
+func TestIdleCrowdWhileDiscoveryIsDown(t *testing.T) {
+	for _, c := range []struct {
+		files  int
+		silent bool
+	}{{32, true}, {64, false}, {256, true}, {1024, false}} {
+		t.Run(fmt.Sprintf("%d descriptors, silent %t", c.files, c.silent), func(t *testing.T) {
+			t.Parallel() // they mostly wait
+			host := ownHost()
+			drains, fresh := newMember(t), newMember(t)
+			close(drains.serve)
+			close(fresh.serve)
+			discovery := newAgent(t, host)
+			if c.silent {
+				discovery.silent()
+			}
+			p := launch(t, host, c.files, limited(c.files, known(drains.entry("s-00000001", "Ready"))))
+			idle := gather(t, host+":6379", 2*c.files)
+			most := 0
+			watch := func() bool { most = max(most, p.open()); return idle.closed.Load() >= int64(2*c.files) }
+			p.until(t, "a crowd beyond all places", watch)
+			var again, refused atomic.Int64
+			served := func(clients int) {
+				t.Helper()
+				var all sync.WaitGroup
+				for range clients {
+					all.Go(func() {
+						answer, sent, busy, err := p.lookup()
+						again.Add(int64(sent - 1))
+						refused.Add(int64(busy))
+						if err != nil || answer != "$2" {
+							t.Errorf("answer %q, error %v, sent %d times, refused %d times", answer, err, sent, busy)
+						}
+					})
+				}
+				all.Wait()
+				most = max(most, p.open())
+			}
+			others := func() {
+				t.Helper()
+				if !p.pings() {
+					t.Error("no answer to PING")
+				}
+				for _, path := range []string{"/ops/readiness", "/ops/stats"} {
+					if status, err := p.operate(path); status != 200 || err != nil {
+						t.Errorf("%s: %d, %v", path, status, err)
+					}
+				}
+			}
+			served(2)
+			others()
+			discovery.answer(drains.entry("s-00000001", "Terminating") + "," + fresh.entry("s-00000002", "Ready"))
+			discovery.told()
+			before := len(drains.got)
+			for range 5 { // as many at once as may be open within the least share
+				served(2)
+			}
+			others()
+			if n := len(drains.got) - before; n > 0 || len(fresh.got) < 10 {
+				t.Errorf("%d requests went to the backend that drains, %d to the other", n, len(fresh.got))
+			}
+			log := p.logged()
+			if n := strings.Count(log, "too many open files"); n > 0 {
+				t.Errorf("%d calls found no descriptor", n)
+			}
+			if n := refused.Load(); n > 0 {
+				t.Errorf("true clients were turned away %d times", n)
+			}
+			t.Logf("at most %d of %d descriptors; %d of the crowd closed; %d requests sent again; %d lines logged",
+				most, c.files, idle.closed.Load(), again.Load(), strings.Count(log, "\n"))
+		})
+	}
+}
+
 // Every part takes all that it may at once: clients, backends, operators, one at the door, and two
 // addresses of discovery, one of which hangs. The sum stays within the limit, and a new configuration
 // can still be read.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -249,6 +249,16 @@
 	return true
 }
 
+// busy counts the connections on which something is open.
+func (cs *clients) busy() (n int) {
+	for c := range cs.conns {
+		if len(c.line) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // The ranks of connections, those that make room first before others.
 const (
 	crowdSilent  = iota // has sent nothing, and there are too many like it
@@ -533,8 +543,12 @@
 // refusal is the prompt answer where the gateway itself has no room.
 func (l *Loop) refusal(c *client, full bool) []byte {
 	cs := l.clients
-	for c.asked == 1 && len(cs.conns) > cs.most && !c.surplus {
-		c.surplus = !cs.evict(l, c)
+	for c.asked == 1 && len(cs.conns) > cs.most {
+		if !cs.evict(l, c) {
+			// Of those that have only just come none may be shut, nor do they keep out one that asks.
+			c.surplus = cs.busy() > cs.most
+			break
+		}
 	}
 	full = full || l.cfg.Host.MaxOpen > 0 && l.open > l.cfg.Host.MaxOpen || l.held >= l.cfg.MemoryMB<<20/4
 	if !full && !c.surplus && !l.drain.answered {
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -207,3 +207,33 @@
 		t.Error("the front's made room amid a command")
 	}
 }
+
+// Connections that have only just come and say nothing fill all places: none of them is shut, and a
+// client that asks is served beside them. Beyond the share of those that ask, one is refused.
+func TestNewcomersKeepNobodyOutWhoAsks(t *testing.T) {
+	l := unstarted(t, newFakeDiscovery(t))
+	l.clients.most = 4
+	add := func(asked int, line ...*request) *client {
+		near, err := net.DialTCP("tcp", nil, l.clients.listener.Addr().(*net.TCPAddr))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &client{conn: near, out: newSender(near), done: make(chan struct{}), asked: asked, line: line,
+			used: l.now() + 60e6} // it is as new when it is looked at
+		l.clients.conns[c] = true
+		l.clients.room <- struct{}{}
+		return c
+	}
+	for range 5 {
+		add(0)
+	}
+	for i := range 5 {
+		c := add(1, &request{})
+		if answer := l.refusal(c, false); (answer != nil) != (i == 4) || c.surplus != (i == 4) {
+			t.Errorf("client %d: answer %q, over the share %t", i, answer, c.surplus)
+		}
+	}
+	if len(l.clients.conns) != 10 {
+		t.Errorf("%d connections are left of 10", len(l.clients.conns))
+	}
+}
