--- /dev/null
+++ b/internal/gateway/files.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"syscall"
+)
+
+// The descriptors for neither clients nor backends, at most.
+const (
+	runtimeFiles   = 7              // standard streams 3, the poller and what wakes it 2, the control group's limit 2
+	ownFiles       = 5              // the listener, the peers' socket, the door and who stands at it, the configuration
+	discoveryFiles = 2              // one for an address: a dial to the one before may still hang
+	counterFiles   = 2 * countLines // the same
+	opsFiles       = 2              // the listener, and the caller that another one is cut off for
+
+	spareFiles  = 24 // that no share counts on, where there are many
+	leastBeyond = 4  // clients over their share, that can be turned away
+)
+
+// files is how the descriptors that the process may open are shared out.
+type files struct {
+	share   int // for connections of clients, and as many to backends
+	room    int // for connections of clients, those that are to be turned away among them
+	callers int // for connections of operators
+}
+
+// shareOut gives two in five descriptors to clients and as many to backends, and never more than
+// all the others leave: a connection that finds no descriptor is one that the gateway can't
+// refuse, and discovery's may be the one.
+func shareOut(sockets int, counter bool) files {
+	f := files{callers: min(opsCallers, max(2, sockets/16))}
+	others := runtimeFiles + ownFiles + discoveryFiles + opsFiles + f.callers
+	if counter {
+		others += counterFiles
+	}
+	f.share = min((sockets-spareFiles)*2/5, (sockets-others-leastBeyond)/2)
+	f.room = f.share + max(leastBeyond, f.share/4)
+	return f
+}
+
+// Files is how many descriptors the process may open; an error where none can serve with so few.
+func Files() (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt32, nil // not known: what the configuration states holds
+	}
+	if limit.Cur < leastSockets {
+		return 0, fmt.Errorf("limit of open files: %d, at least %d wanted", limit.Cur, leastSockets)
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
+
+// sockets is how many descriptors to count on: the configuration may state more than the process gets.
+func (c *Config) sockets(log *slog.Logger) int {
+	if c.Files == 0 || c.Files >= c.Sockets {
+		return c.Sockets
+	}
+	log.Warn("fewer descriptors than configured", "limits.sockets", c.Sockets, "limit_of_open_files", c.Files)
+	return c.Files
+}
--- /dev/null
+++ b/internal/gateway/files_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+// All that may be open at once fits, whatever the limit; where descriptors are not few, clients and
+// backends get two in five each.
+func TestDescriptorsFitTheLimit(t *testing.T) {
+	for sockets := leastSockets; sockets <= 4096; sockets++ {
+		for _, counter := range []bool{false, true} {
+			f := shareOut(sockets, counter)
+			// streams 3, poller 2, control group 2, listener, peers, door, who stands there, configuration,
+			// discovery at two addresses, operators' listener and one more caller than there are places
+			sum := f.room + f.share + 3 + 2 + 2 + 5 + 2 + 1 + f.callers + 1
+			if counter {
+				sum += 2 * countLines
+			}
+			if sum > sockets || f.share < 1 || f.callers < 2 {
+				t.Fatalf("limit %d, counter %t: up to %d open, %+v", sockets, counter, sum, f)
+			}
+			if even := (sockets - 24) * 2 / 5; f.share != even && (sockets >= 64 || !counter) {
+				t.Errorf("limit %d, counter %t: share %d, want %d", sockets, counter, f.share, even)
+			}
+		}
+	}
+	for sockets, want := range map[int]files{32: {3, 7, 2}, 64: {16, 20, 4}, 256: {92, 115, 12}, 1024: {400, 500, 12}} {
+		if got := shareOut(sockets, false); got != want {
+			t.Errorf("limit %d: %+v, want %+v", sockets, got, want)
+		}
+	}
+}
+
+// The lower of two limits counts, and one line says so.
+func TestLowerLimitCounts(t *testing.T) {
+	for _, c := range []struct{ configured, process, want, lines int }{
+		{1024, 0, 1024, 0}, {1024, 1024, 1024, 0}, {256, 20000, 256, 0}, {1024, 256, 256, 1},
+	} {
+		var log bytes.Buffer
+		cfg := configure(t, newFakeDiscovery(t), func(f map[string]any) {
+			f["limits"] = map[string]any{"sockets": c.configured}
+		})
+		cfg.Files = c.process
+		l, err := newLoop(cfg, slog.New(slog.NewTextHandler(&log, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.clients.listener.Close()
+		want := shareOut(c.want, false)
+		if l.clients.most != want.share || cap(l.clients.room) != want.room || l.backends.most != want.share {
+			t.Errorf("%+v: %d clients, %d in all, %d to backends", c, l.clients.most, cap(l.clients.room), l.backends.most)
+		}
+		if n := strings.Count(log.String(), "fewer descriptors than configured"); n != c.lines {
+			t.Errorf("%+v: %d lines", c, n)
+		}
+	}
+}
