Have TestHungWatchIsGivenUp wait for the watch that hangs

Cause: settled() takes the revision to wait for when it is called. With the cores overbooked the gateway was ready, and the test there, before its first watch reached the server that holds it and tells the second backend. The revision was then that of the empty list: its watch is asked again once the hung one is given up, so the request went out before the news were read, and was refused. The program does as it should.

The test waits until the watch has come and the news are told before it asks for their revision; its checks are unchanged.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -456,6 +456,7 @@
 func TestHungWatchIsGivenUp(t *testing.T) {
 	var held atomic.Bool
 	var d *fakeDiscovery
+	told := make(chan struct{})
 	second := newBackend(t)
 	hung := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("index") && !held.Swap(true) {
@@ -464,6 +465,7 @@
 				t.Errorf("a watch is waited for %v, %v", limit, err)
 			}
 			d.tell(second.entry("s-00000002", "Ready"))
+			close(told)
 			<-r.Context().Done()
 			return
 		}
@@ -472,6 +474,7 @@
 	t.Cleanup(func() { hung.CloseClientConnections(); hung.Close() })
 	d = newFakeDiscovery(t)
 	r := begin(t, configure(t, d, func(f map[string]any) { f["discovery"] = strings.TrimPrefix(hung.URL, "http://") }))
+	wait(t, told, "the watch that hangs") // before it the list without news would count as the last
 	d.settled(t)
 	c := r.client(t)
 	c.lookup(1, "60000")
