Put the loop's clock into the tests' hands

Cause: gateways in tests went by the machine's clock. From a few answers on, a lookup that is not answered within a small multiple of what they took goes to a second attempt and its connection is closed; so where the machine kept the test's backend from answering for some milliseconds, its answer went nowhere, and the second attempt got none. Deadlines of 300 to 500 ms, the steps of a shutdown by hand and the time of a dial passed likewise before the test had come to them.

The clock has one point of injection, the function that tells how long it has run. In tests it stands still but where a test moves it on, in steps as a jump tells the module that the gateway stood still; with a planned shutdown it runs. The two tests of deadlines and the one of an idle connection let exactly that time pass, and fail as before if nothing ends by then. TestConnectionRestsAfterAnAnswer needs its own trick no more.

When a client last sent something is now told by the loop's clock too, as it is compared with times of that one: half a command is known by it.

The package passes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -95,6 +95,7 @@
 	errors  int           // bad ones, in a row
 	used    decide.Time   // when it last sent a command, or was opened
 	opened  time.Time     // when it was accepted, by whichever process
+	clock   clock         // the loop's
 
 	passing atomic.Bool  // it is to go to another process once nothing is open on it
 	parted  bool         // and is read no more
@@ -196,7 +197,7 @@
 	cs.counts.wait = max(cs.counts.wait, time.Since(e.opened).Microseconds())
 	c := &client{
 		conn: e.conn, out: newSender(e.conn), room: make(chan struct{}, pipelined), done: make(chan struct{}),
-		used: now, opened: e.opened, asked: e.asked, unread: e.unread,
+		used: now, opened: e.opened, asked: e.asked, unread: e.unread, clock: l.clock,
 	}
 	cs.conns[c] = true
 	c.parting = l.drain.closing // it came at the last moment: one command is answered
@@ -371,7 +372,7 @@
 	}
 	n, err := c.conn.Read(b)
 	if n > 0 {
-		c.active.Store(time.Now().UnixMicro())
+		c.active.Store(c.clock.now())
 	}
 	if n == 0 && c.midway && c.passing.Load() && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(c.until) {
 		_ = c.conn.SetReadDeadline(c.until)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -159,6 +159,7 @@
 	c := r.client(t)
 	c.lookup(1, "300")
 	late := b.next(t)
+	r.pass(t, 300_000)
 	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("answer %q", got)
 	}
@@ -434,6 +435,7 @@
 	c.lookup(1, "60000")
 	b.next(t).serve(t, "ok")
 	c.value("ok")
+	r.pass(t, 200_000)
 	if err := wait(t, b.ended, "the idle connection's end"); !errors.Is(err, io.EOF) {
 		t.Error(err)
 	}
@@ -712,6 +714,7 @@
 	c, idle := r.client(t), r.client(t)
 	idle.send("PING")
 	idle.want("+PONG")
+	r.pass(t, 1) // what comes from now on came after its connection
 	const command = "*4\r\n$8\r\nAPI.READ\r\n$16\r\n0000000000000007\r\n$16\r\n0000000000000001\r\n" +
 		"$48\r\nc=lookup,t=team,d=60000,units=1,spread=1,first=0\r\n"
 	c.raw(command[:40])
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -19,14 +19,15 @@
 type clock struct {
 	wall  decide.Time
 	start time.Time
+	since func(time.Time) time.Duration // time.Since, but in tests
 }
 
 func newClock() clock {
 	now := time.Now()
-	return clock{now.UnixMicro(), now}
+	return clock{now.UnixMicro(), now, time.Since}
 }
 
-func (c clock) now() decide.Time { return c.wall + time.Since(c.start).Microseconds() }
+func (c clock) now() decide.Time { return c.wall + c.since(c.start).Microseconds() }
 
 // event is something that happened, posted by a socket's goroutine.
 type event interface {
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -11,9 +11,11 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"mothcleat/decide"
 	"mothcleat/internal/resp"
 )
 
@@ -195,10 +197,34 @@
 // quiet is a log that nobody reads.
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
+// hand is a loop's clock in a test's hands: it stands still, however long the machine takes, but where
+// the test moves it on or, from some moment on, lets it run.
+type hand struct {
+	moved atomic.Int64
+	runs  atomic.Pointer[time.Time]
+}
+
+func (h *hand) since(time.Time) time.Duration {
+	passed := time.Duration(h.moved.Load())
+	if from := h.runs.Load(); from != nil {
+		passed += time.Since(*from)
+	}
+	return passed
+}
+
+// hold takes a loop's clock in hand. Dials, which go by the machine's, have all the time they want.
+func hold(l *Loop) *hand {
+	h := &hand{}
+	l.clock.since = h.since
+	l.backends.dial.Timeout = patience
+	return h
+}
+
 // rig is a gateway between fakes.
 type rig struct {
 	addr    string
 	loop    *Loop
+	clock   *hand
 	reload  chan struct{}
 	configs chan func() (Config, error) // what the next reload reads
 	once    sync.Once
@@ -206,6 +232,33 @@
 	ended   chan struct{}
 }
 
+// pass lets time pass in steps: a clock that jumps tells the module that the gateway stood still.
+func (r *rig) pass(t testing.TB, time decide.Time) {
+	t.Helper()
+	for step := decide.Time(0); time > 0; time -= step {
+		step = min(time, 4000) // as the settings' granularity
+		r.clock.moved.Add(step * 1000)
+		r.turn(t)
+	}
+}
+
+// run lets the clock run from now on.
+func (r *rig) run() {
+	now := time.Now()
+	r.clock.runs.CompareAndSwap(nil, &now)
+	r.loop.post(inspect(func(*Loop) {}))
+}
+
+// turn waits until the loop has handled what was posted before, and what is due.
+func (r *rig) turn(t testing.TB) {
+	t.Helper()
+	for range 2 { // what is due is done between two events
+		told := make(chan struct{}, 1)
+		r.loop.post(inspect(func(*Loop) { told <- struct{}{} }))
+		wait(t, told, "the loop")
+	}
+}
+
 // rest waits until a connection to a backend is idle, and lets it rest for long enough to be used again.
 func (r *rig) rest(t testing.TB) {
 	t.Helper()
@@ -215,17 +268,20 @@
 			for _, b := range l.backends.byNumber {
 				idle = idle || len(b.idle) > 0
 			}
-			if idle {
-				l.clock.wall += restFor
-			}
 			told <- idle
 		}))
 		idle = wait(t, told, "the loop")
 	}
+	r.pass(t, restFor)
 }
 
-// stop begins a planned shutdown.
-func (r *rig) stop() { r.once.Do(func() { close(r.stopped) }) }
+// stop begins a planned shutdown, with the clock running: its steps are due at their times.
+func (r *rig) stop() {
+	r.once.Do(func() {
+		r.run()
+		close(r.stopped)
+	})
+}
 
 // reloads has the gateway take in another configuration, or fail to.
 func (r *rig) reloads(cfg Config, err error) {
@@ -262,6 +318,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	hold(l)
 	t.Cleanup(func() { l.clients.listener.Close() })
 	return l
 }
@@ -273,7 +330,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{addr: l.clients.listener.Addr().String(), loop: l, stopped: make(chan struct{}), ended: make(chan struct{}),
+	r := &rig{addr: l.clients.listener.Addr().String(), loop: l, clock: hold(l), stopped: make(chan struct{}), ended: make(chan struct{}),
 		reload: make(chan struct{}), configs: make(chan func() (Config, error), 1)}
 	control := Control{Stop: r.stopped, Reload: r.reload, Read: func() (Config, error) { return (<-r.configs)() }}
 	go func() { l.serve(control); close(r.ended) }()
--- a/internal/gateway/spoilt_test.go
+++ b/internal/gateway/spoilt_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"strings"
 	"testing"
-	"time"
 
 	"mothcleat/decide"
 )
@@ -72,7 +71,6 @@
 			_, letGo := heldDials(l)
 			defer close(letGo)
 			answered := wait(t, l.events, "the answer")
-			l.clock.start = time.Now().Add(time.Hour) // time stands still from here on
 			answered.handle(l)
 			second := &attempt{sent: l.now(), until: l.now() + 1e9}
 			l.backends.start(l, second, 1)
@@ -83,8 +81,7 @@
 				call.answer(t, "+PONG\r\n")
 				wait(t, l.events, "the second answer").handle(l)
 			}
-			l.last += restFor
-			l.fire()
+			later(l, restFor)
 			if got := second.conn == used; got == late {
 				t.Errorf("the connection was used: %t", got)
 			}
--- a/internal/gateway/values_test.go
+++ b/internal/gateway/values_test.go
@@ -133,8 +133,9 @@
 	head, value := largeHead()
 	call.answer(t, head+value[:relayFirst])
 	c.want(fmt.Sprintf("$%d", largeSize))
-	other.lookup(2, "400") // ends later than the deadline of the first
+	other.lookup(2, "500") // ends later than the deadline of the first
 	b.next(t)
+	r.pass(t, 500_000)
 	if got := other.line(); got[0] != '-' {
 		t.Fatalf("answer %q", got)
 	}
