Read figures in tests only once the loop has counted

Cause: an attempt is counted as relayed after its last byte is written, and a large value as fulfilled after its client has it; the test's backend or client may have seen it earlier. TestFiguresCountEachRequestOnce failed once in 12 copies of the package at once under -race on 8 cores, cut off after 170 s.

wantFigures lets the loop take one turn first, and the figures of a value passed on are waited for; what they must be is unchanged, and counted twice still fails. Ruled out: to count before the write, as an attempt that was not written must not be counted.

--- a/internal/gateway/ops_test.go
+++ b/internal/gateway/ops_test.go
@@ -36,6 +36,7 @@
 
 func wantFigures(t testing.TB, r *rig, want ...string) {
 	t.Helper()
+	r.turn(t) // what a fake has seen already may be counted only after that
 	_, body := operate(t, r, "GET", "/ops/stats")
 	for _, line := range want {
 		if !strings.Contains("\n"+body, "\nedge_relay."+line+"\n") {
--- a/internal/gateway/values_test.go
+++ b/internal/gateway/values_test.go
@@ -63,6 +63,7 @@
 		next.answer(t, head+value+"\r\n$-1\r\n$-1\r\n")
 		c.largeValue(value)
 	}
+	reached(t, r, "fulfilled.once=3") // counted after the client has the value
 	wantFigures(t, r, "open_requests=0", "fulfilled.once=3", "relayed.once=3")
 }
 
