Let the last client's linger pass in TestShutdownServesWhatWaitsInTheBacklog

Cause: where a connection ends after the command at hand, its reader stops behind that command if the loop has taken it in by then, and otherwise sees the client's close. In the first case the linger of 200 ms ends the connection, and the test, whose loop runs by hand, never let it pass. The program is not at fault.

The test lets those 200 ms pass by its clock, long before the last step of the shutdown could end the process, and then the process must have ended: in either case.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -52,7 +52,11 @@
 	c.value("ok")
 	c.closed()
 	c.conn.Close()
-	turn(t, l, "the client's end", func() bool { return l.done })
+	// Its reader may have stopped behind the last command, and then does not see the end.
+	later(l, lingerLost)
+	if !l.done {
+		t.Error("the process goes on though its last client has ended")
+	}
 }
 
 // A command is half written when all that is open is answered: its connection ends in order, so that
