Let TestCounterCalls say when a call's deadline passes

Cause: its call without an answer had 200 ms by the machine's clock to reach the counter. A machine busy for longer than that fails the test: nothing was written, and it waits for a call that never comes.

The deadline now passes by an injected context once the counter has the call, as a deadline's end. That a call's own deadline is kept is a check of its own: behind it nothing is called, and the result says so.

Ruled out: to make the call again with more time, as a call given up may still come, and be counted as a second one.

--- a/internal/gateway/counter_test.go
+++ b/internal/gateway/counter_test.go
@@ -21,25 +21,40 @@
 	_ = conn.Close()
 }
 
+// expiry is a context whose deadline passes when a test closes it.
+type expiry chan struct{}
+
+func (e expiry) Deadline() (time.Time, bool) { return time.Time{}, false }
+func (e expiry) Done() <-chan struct{}       { return e }
+func (e expiry) Value(any) any               { return nil }
+
+func (e expiry) Err() error {
+	select {
+	case <-e:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
 // "Nothing added" must be kept apart from "may have been added".
 func TestCounterCalls(t *testing.T) {
-	released := make(chan struct{})
+	late, released := make(expiry), make(chan struct{})
 	for _, c := range []struct {
 		name   string
 		serve  func(w http.ResponseWriter, r *http.Request)
-		wait   time.Duration
 		result decide.Result
 		total  float64
 	}{
-		{"added", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "41.5") }, patience, decide.OK, 41.5},
-		{"turned away", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, patience, decide.Full, 0},
-		{"no such call", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(404) }, patience, decide.Failed, 0},
-		{"no number", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "much") }, patience, decide.Failed, 0},
-		{"not a number", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "NaN") }, patience, decide.Failed, 0},
-		{"no end", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "+Inf") }, patience, decide.Failed, 0},
-		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/v1/count/ff", 307) }, patience, decide.Failed, 0},
-		{"broken after the call", func(w http.ResponseWriter, _ *http.Request) { hijack(w) }, patience, decide.Reset, 0},
-		{"no answer", func(_ http.ResponseWriter, r *http.Request) { <-released }, 200 * time.Millisecond, decide.TimedOut, 0},
+		{"added", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "41.5") }, decide.OK, 41.5},
+		{"turned away", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, decide.Full, 0},
+		{"no such call", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(404) }, decide.Failed, 0},
+		{"no number", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "much") }, decide.Failed, 0},
+		{"not a number", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "NaN") }, decide.Failed, 0},
+		{"no end", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "+Inf") }, decide.Failed, 0},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/v1/count/ff", 307) }, decide.Failed, 0},
+		{"broken after the call", func(w http.ResponseWriter, _ *http.Request) { hijack(w) }, decide.Reset, 0},
+		{"no answer", func(_ http.ResponseWriter, r *http.Request) { close(late); <-released }, decide.TimedOut, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			got := make(chan string, 8)
@@ -48,8 +63,8 @@
 				c.serve(w, r)
 			}))
 			counter := newCounter(&Config{Counter: strings.TrimPrefix(s.URL, "http://")})
-			call := countCall{url: counter.url, name: 0xab, add: -2.5, life: 4e6, deadline: time.Now().Add(c.wait)}
-			total, result := counter.call(context.Background(), call)
+			call := countCall{url: counter.url, name: 0xab, add: -2.5, life: 4e6, deadline: time.Now().Add(patience)}
+			total, result := counter.call(late, call)
 			if total != c.total || result != c.result {
 				t.Errorf("total %g, result %d", total, result)
 			}
@@ -62,10 +77,14 @@
 			s.Close()
 		})
 	}
-	gone := httptest.NewServer(http.NotFoundHandler())
-	gone.Close()
+	gone := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("called past its deadline") }))
 	counter := newCounter(&Config{Counter: strings.TrimPrefix(gone.URL, "http://")})
-	_, result := counter.call(context.Background(), countCall{url: counter.url, deadline: time.Now().Add(patience)})
+	_, result := counter.call(context.Background(), countCall{url: counter.url, deadline: time.Now()})
+	if result != decide.ConnectFailed {
+		t.Errorf("past its deadline: result %d", result)
+	}
+	gone.Close()
+	_, result = counter.call(context.Background(), countCall{url: counter.url, deadline: time.Now().Add(patience)})
 	if result != decide.ConnectFailed {
 		t.Errorf("no listener: result %d", result)
 	}
