Allow in a test for a list that comes too late for its call

Cause: TestSilentAgentIsAskedAgainWithinTheGrace wants the second call to be the watch. The first, for the list, has 250 ms by the machine's clock, and is rightly made again where the fake had no time to answer. Found by reading, not seen.

A call for the list that is made again is passed over until the watch comes; then the silent watch must still be followed by a call that does not wait, as before.

--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -52,7 +52,11 @@
 		f["discovery"] = strings.TrimPrefix(front.URL, "http://")
 	}))
 	for i, want := range []string{"", "index=1&wait=2000", "index=1&wait=0"} {
-		if query := wait(t, asked, "a call"); query != want {
+		query := wait(t, asked, "a call")
+		for i == 1 && query == "" {
+			query = wait(t, asked, "a call") // the list itself came too late, and is asked for again
+		}
+		if query != want {
 			t.Fatalf("call %d asks %q, want %q", i, query, want)
 		}
 	}
