Let tests of a planned shutdown pass its time themselves

Cause: with a shutdown the tests' clock ran by the machine's, and a test that had not served what was out within 3.2 s found it failed. Found by reading, not seen.

Four tests begin the shutdown and let pass what they mean to: until connections are closed, or until what is open is answered. The last one now sees that this is by the deadlines in force and not later. Where a gateway is only to end the clock runs as before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -588,7 +588,7 @@
 	c, idle := r.client(t), r.client(t)
 	c.lookup(1, "60000")
 	call := b.next(t)
-	r.stop()
+	r.stopFor(t, acceptFor)
 	idle.closed()
 	call.serve(t, "ok")
 	c.value("ok")
@@ -604,7 +604,7 @@
 	c := r.client(t)
 	c.lookup(1, "80000000")
 	b.next(t)
-	r.stop()
+	r.stopFor(t, longestMost+answerLeast)
 	c.want("-ERR failed")
 	c.closed()
 	c.conn.Close()
@@ -728,11 +728,12 @@
 		}))
 		begun = wait(t, told, "the loop")
 	}
-	r.stop()
+	r.stopFor(t, acceptFor)
 	idle.closed() // by now connections are closed
 	c.raw(command[40:])
 	b.next(t).serve(t, "ok")
 	c.value("ok")
 	c.closed()
+	r.run() // its connection lingers
 	wait(t, r.ended, "the gateway to end")
 }
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -277,10 +277,20 @@
 
 // stop begins a planned shutdown, with the clock running: its steps are due at their times.
 func (r *rig) stop() {
-	r.once.Do(func() {
-		r.run()
-		close(r.stopped)
-	})
+	r.run()
+	r.once.Do(func() { close(r.stopped) })
+}
+
+// stopFor begins a planned shutdown and lets so much of it pass.
+func (r *rig) stopFor(t testing.TB, time decide.Time) {
+	t.Helper()
+	r.once.Do(func() { close(r.stopped) })
+	for begun := false; !begun; {
+		told := make(chan bool, 1)
+		r.loop.post(inspect(func(l *Loop) { told <- l.drain.begun }))
+		begun = wait(t, told, "the loop")
+	}
+	r.pass(t, time)
 }
 
 // reloads has the gateway take in another configuration, or fail to.
--- a/internal/gateway/values_test.go
+++ b/internal/gateway/values_test.go
@@ -140,7 +140,7 @@
 	if got := other.line(); got[0] != '-' {
 		t.Fatalf("answer %q", got)
 	}
-	r.stop()
+	r.stopFor(t, acceptFor)
 	other.closed()
 	call.answer(t, value[relayFirst:]+"\r\n$-1\r\n$-1\r\n")
 	if got := c.read(largeSize); got != value {
@@ -148,6 +148,7 @@
 	}
 	c.want("")
 	c.closed()
+	r.run() // its connections linger
 	wait(t, r.ended, "the gateway to end")
 }
 
