Wait in a test until a large value's units are settled

Cause: the true units behind a large value are settled once its backend's answer has ended, which the loop hears of after the client has the value. That the bank is right some microseconds late harms no decision.

The test waits until the request counts as fulfilled, which is when its units are settled; the refusal is wanted as before.

--- a/internal/gateway/values_test.go
+++ b/internal/gateway/values_test.go
@@ -155,6 +155,7 @@
 // Units told behind a large value are settled as any.
 func TestLargeValueSettlesItsUnits(t *testing.T) {
 	r, b, _ := oneBackend(t, func(f map[string]any) {
+		withOps(f)
 		text := strings.Replace(settingsText, `"settles":false`, `"settles":true,"max-units":8`, 1)
 		f["settings"] = json.RawMessage(strings.Replace(text, `"rate":0.1,"burst":1`, `"rate":0.0001,"burst":4`, 1))
 	})
@@ -163,7 +164,8 @@
 	head, value := largeHead()
 	b.next(t).answer(t, head+value+"\r\n$14\r\nused=9,cost=4.\r\n$-1\r\n")
 	c.largeValue(value)
-	c.book(2, "tiny") // the bank held 4
+	reached(t, r, "fulfilled.once=1") // settled only after the client has the value
+	c.book(2, "tiny")                 // the bank held 4
 	if got := c.line(); !isBusy([]byte(got)) {
 		t.Errorf("answer %q: the guess was 1, the true units 4", got)
 	}
