--- a/internal/gateway/command_test.go
+++ b/internal/gateway/command_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -26,7 +25,7 @@
 
 func BenchmarkParse(b *testing.B) {
 	cfg, err := ParseConfig([]byte(fmt.Sprintf(
-		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"01","settings":%s}`, json.RawMessage(settingsText))))
+		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"01","settings":%s}`, settingsWith(b, `"balancers":1`, `"balancers":4`))))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -159,6 +159,7 @@
 	c := r.client(t)
 	c.lookup(1, "300")
 	late := b.next(t)
+	r.pass(t, 300_000)
 	if got := c.line(); !strings.HasPrefix(got, "-BUSY") {
 		t.Errorf("answer %q", got)
 	}
@@ -434,6 +435,7 @@
 	c.lookup(1, "60000")
 	b.next(t).serve(t, "ok")
 	c.value("ok")
+	r.pass(t, 200_000)
 	if err := wait(t, b.ended, "the idle connection's end"); !errors.Is(err, io.EOF) {
 		t.Error(err)
 	}
@@ -456,6 +458,7 @@
 func TestHungWatchIsGivenUp(t *testing.T) {
 	var held atomic.Bool
 	var d *fakeDiscovery
+	told := make(chan struct{})
 	second := newBackend(t)
 	hung := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Query().Has("index") && !held.Swap(true) {
@@ -464,6 +467,7 @@
 				t.Errorf("a watch is waited for %v, %v", limit, err)
 			}
 			d.tell(second.entry("s-00000002", "Ready"))
+			close(told)
 			<-r.Context().Done()
 			return
 		}
@@ -472,6 +476,7 @@
 	t.Cleanup(func() { hung.CloseClientConnections(); hung.Close() })
 	d = newFakeDiscovery(t)
 	r := begin(t, configure(t, d, func(f map[string]any) { f["discovery"] = strings.TrimPrefix(hung.URL, "http://") }))
+	wait(t, told, "the watch that hangs") // before it the list without news would count as the last
 	d.settled(t)
 	c := r.client(t)
 	c.lookup(1, "60000")
@@ -553,7 +558,7 @@
 	c, idle := r.client(t), r.client(t)
 	c.lookup(1, "60000")
 	call := b.next(t)
-	r.stop()
+	r.stopFor(t, acceptFor)
 	idle.closed()
 	call.serve(t, "ok")
 	c.value("ok")
@@ -569,7 +574,7 @@
 	c := r.client(t)
 	c.lookup(1, "80000000")
 	b.next(t)
-	r.stop()
+	r.stopFor(t, longestMost+answerLeast)
 	c.want("-ERR failed")
 	c.closed()
 	c.conn.Close()
@@ -679,6 +684,7 @@
 	c, idle := r.client(t), r.client(t)
 	idle.send("PING")
 	idle.want("+PONG")
+	r.pass(t, 1) // what comes from now on came after its connection
 	const command = "*4\r\n$8\r\nAPI.READ\r\n$16\r\n0000000000000007\r\n$16\r\n0000000000000001\r\n" +
 		"$48\r\nc=lookup,t=team,d=60000,units=1,spread=1,first=0\r\n"
 	c.raw(command[:40])
@@ -692,11 +698,12 @@
 		}))
 		begun = wait(t, told, "the loop")
 	}
-	r.stop()
+	r.stopFor(t, acceptFor)
 	idle.closed() // by now connections are closed
 	c.raw(command[40:])
 	b.next(t).serve(t, "ok")
 	c.value("ok")
 	c.closed()
+	r.run() // its connection lingers
 	wait(t, r.ended, "the gateway to end")
 }
--- a/internal/gateway/values_test.go
+++ b/internal/gateway/values_test.go
@@ -63,6 +63,7 @@
 		next.answer(t, head+value+"\r\n$-1\r\n$-1\r\n")
 		c.largeValue(value)
 	}
+	reached(t, r, "fulfilled.once=3") // counted after the client has the value
 	wantFigures(t, r, "open_requests=0", "fulfilled.once=3", "relayed.once=3")
 }
 
@@ -133,12 +134,13 @@
 	head, value := largeHead()
 	call.answer(t, head+value[:relayFirst])
 	c.want(fmt.Sprintf("$%d", largeSize))
-	other.lookup(2, "400") // ends later than the deadline of the first
+	other.lookup(2, "500") // ends later than the deadline of the first
 	b.next(t)
+	r.pass(t, 500_000)
 	if got := other.line(); got[0] != '-' {
 		t.Fatalf("answer %q", got)
 	}
-	r.stop()
+	r.stopFor(t, acceptFor)
 	other.closed()
 	call.answer(t, value[relayFirst:]+"\r\n$-1\r\n$-1\r\n")
 	if got := c.read(largeSize); got != value {
@@ -146,12 +148,14 @@
 	}
 	c.want("")
 	c.closed()
+	r.run() // its connections linger
 	wait(t, r.ended, "the gateway to end")
 }
 
 // Units told behind a large value are settled as any.
 func TestLargeValueSettlesItsUnits(t *testing.T) {
 	r, b, _ := oneBackend(t, func(f map[string]any) {
+		withOps(f)
 		text := strings.Replace(settingsText, `"settles":false`, `"settles":true,"max-units":8`, 1)
 		f["settings"] = json.RawMessage(strings.Replace(text, `"rate":0.1,"burst":1`, `"rate":0.0001,"burst":4`, 1))
 	})
@@ -160,7 +164,8 @@
 	head, value := largeHead()
 	b.next(t).answer(t, head+value+"\r\n$14\r\nused=9,cost=4.\r\n$-1\r\n")
 	c.largeValue(value)
-	c.book(2, "tiny") // the bank held 4
+	reached(t, r, "fulfilled.once=1") // settled only after the client has the value
+	c.book(2, "tiny")                 // the bank held 4
 	if got := c.line(); !isBusy([]byte(got)) {
 		t.Errorf("answer %q: the guess was 1, the true units 4", got)
 	}
