Play the silent agent on an injected clock, and hold when it is asked again

The test allowed for lists that came too late on a busy machine, any number of them. On a clock in the test's hands the calls are exactly three, and the third comes within four fifths of the grace after the silent watch should have ended.

--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -5,9 +5,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mothcleat/decide"
@@ -35,31 +36,29 @@
 		}
 	}
 
-	asked := make(chan string, 64)
-	b := newBackend(t)
-	list := newFakeDiscovery(t, b.entry("s-00000001", "Ready"))
-	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked <- r.URL.RawQuery
-		if r.URL.Query().Get("wait") == "2000" {
-			<-r.Context().Done()
-			return
-		}
-		list.ServeHTTP(w, r)
-	}))
-	t.Cleanup(func() { front.CloseClientConnections(); front.Close() })
-	begin(t, configure(t, list, func(f map[string]any) {
-		withGrace(f)
-		f["discovery"] = strings.TrimPrefix(front.URL, "http://")
-	}))
-	for i, want := range []string{"", "index=1&wait=2000", "index=1&wait=0"} {
-		query := wait(t, asked, "a call")
-		for i == 1 && query == "" {
-			query = wait(t, asked, "a call") // the list itself came too late, and is asked for again
+	synctest.Test(t, func(t *testing.T) {
+		var calls []string
+		var silentFrom, askedAgain time.Time
+		ctx, cancel := context.WithCancel(t.Context())
+		follows(ctx, cfg, nil, roundTrip(func(r *http.Request) (*http.Response, error) {
+			switch calls = append(calls, r.URL.RawQuery); len(calls) {
+			case 1:
+				return httpAnswer(r, 200, strings.NewReader(`{"revision":1,"complete":true,"members":[]}`))
+			case 2:
+				silentFrom = time.Now()
+				return silent(r)
+			}
+			askedAgain = time.Now()
+			cancel()
+			return silent(r)
+		}))
+		if want := []string{"", "index=1&wait=2000", "index=1&wait=0"}; !slices.Equal(calls, want) {
+			t.Errorf("it asks %q, want %q", calls, want)
 		}
-		if query != want {
-			t.Fatalf("call %d asks %q, want %q", i, query, want)
+		if gap := askedAgain.Sub(silentFrom.Add(watchWait)); gap > grace*4/5 {
+			t.Errorf("it is asked again %v after a watch should have ended, the grace is %v", gap, grace)
 		}
-	}
+	})
 }
 
 // answers is discovery's side of calls without a network.
