See a client's end also while its reader waits for the loop or a backend

Now another goroutine reads ahead meanwhile, at most 2 x MaxValue bytes for a connection, counted into what waits for the loop and none where that has taken half of its memory. The end is told at once. What was read ahead is read on in order, also by a process that takes over; its time of arrival is as before when it is decoded. An end behind more bytes than that is still not seen. A client that only ends its sending has gone, as before.

Ruled out: decoding commands ahead in the loop, which leaves the waits of a large body blind.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -43,20 +43,31 @@
 // next command can be read.
 func (c *client) relayBody(l *Loop, in *resp.Reader, b *body) bool {
 	var to *backendConn
-	select {
-	case to = <-b.to:
-	case <-c.done:
-		return false
+	gone := false
+	c.meanwhile(l, func() {
+		select {
+		case to = <-b.to:
+		case <-c.done:
+			gone = true
+		}
+	})
+	if gone || c.closed.Load() {
+		return false // the attempt, if any, ends with the request
 	}
 	write := func(p []byte) {
-		if to != nil && to.out.pump(p, relayIdle) != nil {
+		if to == nil {
+			return
+		}
+		var err error
+		c.meanwhile(l, func() { err = to.out.pump(p, relayIdle) })
+		if err != nil {
 			l.post(bodyBroken{b: b})
 			to = nil // the rest is read past
 		}
 	}
 	buf := make([]byte, min(b.size, relayBuffer))
 	var err error
-	for left := b.size; left > 0 && err == nil; {
+	for left := b.size; left > 0 && err == nil && !c.closed.Load(); {
 		c.until = time.Now().Add(commandWithin)
 		_ = c.conn.SetReadDeadline(c.until)
 		var n int
@@ -64,6 +75,9 @@
 		left -= n
 		write(buf[:n])
 	}
+	if c.closed.Load() {
+		return false
+	}
 	if err == nil {
 		err = in.ReadEnd()
 	}
@@ -78,7 +92,7 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, resp.ErrProtocol):
 		l.post(bodyBroken{b: b, spoilt: true})
 	default:
-		l.post(left{c})
+		c.leave(l)
 	}
 	return false
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -20,6 +20,8 @@
 	backlogIdle = 20 * time.Millisecond // without a new connection: none waits
 	pipelined   = 256                   // commands of one connection without an answer
 	unread      = 2 * resp.MaxValue     // bytes of answers that a client has not taken
+	aheadMost   = 2 * resp.MaxValue     // and of what it has sent that are read while its reader waits,
+	aheadStep   = 4096                  // for which room is taken as they come
 	refuseAfter = 500_000               // advice where the gateway itself has no room
 	lingerFor   = 500_000               // for the other side to close, after the last answer,
 	lingerLost  = 200_000               // after an error that ends the connection,
@@ -86,6 +88,7 @@
 	room    chan struct{}
 	done    chan struct{} // closed when it is gone
 	barred  atomic.Bool   // what it still sends is not read
+	closed  atomic.Bool   // by the other side, of which the loop may not have heard yet
 	gone    bool          // nothing more can be written
 	ending  bool          // ends as soon as its line is empty
 	parting bool          // ends after the command that has begun to come
@@ -96,13 +99,15 @@
 	used    decide.Time   // when it last sent a command, or was opened
 	opened  time.Time     // when it was accepted, by whichever process
 
-	passing atomic.Bool  // it is to go to another process once nothing is open on it
-	parted  bool         // and is read no more
-	active  atomic.Int64 // when something last came from it; 0: nothing yet
-	carry   []byte       // commands that were read and are to be decided on there
-	unread  []byte       // the reader's: what another process has read, and not decided on
-	midway  bool         // the reader's: a command has begun
-	until   time.Time    // the reader's: by when it has to be whole
+	passing atomic.Bool   // it is to go to another process once nothing is open on it
+	parted  bool          // and is read no more
+	active  atomic.Int64  // when something last came from it; 0: nothing yet
+	carry   []byte        // commands that were read and are to be decided on there
+	unread  []byte        // the reader's: what another process has read, and not decided on
+	ahead   []byte        // the reader's: what was read while it waited,
+	coming  *atomic.Int64 // into which that is counted
+	midway  bool          // the reader's: a command has begun
+	until   time.Time     // the reader's: by when it has to be whole
 }
 
 // resume has connections accepted from now on, and pause none any more: they stay
@@ -196,7 +201,7 @@
 	cs.counts.wait = max(cs.counts.wait, time.Since(e.opened).Microseconds())
 	c := &client{
 		conn: e.conn, out: newSender(e.conn), room: make(chan struct{}, pipelined), done: make(chan struct{}),
-		used: now, opened: e.opened, asked: e.asked, unread: e.unread,
+		used: now, opened: e.opened, asked: e.asked, unread: e.unread, coming: &l.coming,
 	}
 	cs.conns[c] = true
 	c.parting = l.drain.closing // it came at the last moment: one command is answered
@@ -306,9 +311,10 @@
 }
 
 // read posts what a client sends until it ends. It never waits for an answer
-// but where a line is full, so a close is seen while requests are out. A client
-// that says nothing, or begins a command and does not end it, is cut off.
+// but where a line is full, and reads ahead then, so a close is seen while requests
+// are out. A client that says nothing, or begins a command and does not end it, is cut off.
 func (c *client) read(l *Loop, spoken bool) {
+	defer func() { l.coming.Add(-int64(len(c.ahead))); c.ahead = nil }()
 	in := resp.NewReader(c)
 	if c.until = c.opened.Add(firstWithin); !spoken {
 		_ = c.conn.SetReadDeadline(c.until)
@@ -316,7 +322,7 @@
 	for {
 		e := taken{client: c}
 		c.midway = false
-		if c.passing.Load() && in.Buffered() == 0 && len(c.unread) == 0 {
+		if c.passing.Load() && in.Buffered() == 0 && len(c.unread)+len(c.ahead) == 0 {
 			l.post(parted{c})
 			return
 		}
@@ -343,9 +349,7 @@
 		if spoken {
 			_ = c.conn.SetReadDeadline(time.Time{})
 		}
-		select {
-		case c.room <- struct{}{}:
-		case <-c.done:
+		if !c.enter(l, spoken) {
 			l.coming.Add(-int64(e.size))
 			return
 		}
@@ -354,13 +358,89 @@
 			return
 		}
 		if e.last || c.barred.Load() {
-			return // it is closed after its last answer
+			c.meanwhile(l, func() { <-c.done }) // it is closed after its last answer
+			return
 		}
 	}
+	c.leave(l)
+}
+
+// enter waits for a place in the line, and tells whether it is still of use.
+func (c *client) enter(l *Loop, spoken bool) bool {
+	select {
+	case c.room <- struct{}{}:
+		return true
+	default:
+	}
+	entered := false
+	c.meanwhile(l, func() {
+		select {
+		case c.room <- struct{}{}:
+			entered = true
+		case <-c.done:
+		}
+	})
+	if !spoken {
+		_ = c.conn.SetReadDeadline(c.until)
+	}
+	return entered && !c.closed.Load()
+}
+
+// leave tells that the other side has closed. No attempt begins from here on, whatever the loop
+// has to do before it takes that in.
+func (c *client) leave(l *Loop) {
+	c.closed.Store(true)
 	l.post(left{c})
 }
 
-// Read reads what an earlier process has left, then from the connection. That the
+// meanwhile does what the reader has to wait for. As long as that takes another goroutine
+// reads ahead, for the end of the connection alone: it leaves no read deadline behind.
+func (c *client) meanwhile(l *Loop, wait func()) {
+	over, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		c.readAhead(l, over)
+	}()
+	wait()
+	close(over)
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	<-stopped
+	_ = c.conn.SetReadDeadline(time.Time{})
+}
+
+// readAhead keeps what comes for the reader until that goes on. The end is not seen behind more than
+// so many bytes, nor where all that waits for the loop has taken half of its memory: the
+// other half is for those that read on in order.
+func (c *client) readAhead(l *Loop, over <-chan struct{}) {
+	most := l.shown.Load().comingMost() / 2
+	for len(c.ahead) < aheadMost && l.coming.Load() < most {
+		if len(c.ahead) == cap(c.ahead) {
+			c.ahead = slices.Grow(c.ahead, min(max(aheadStep, len(c.ahead)), aheadMost-len(c.ahead)))
+		}
+		n, err := c.conn.Read(c.ahead[len(c.ahead):min(cap(c.ahead), aheadMost)])
+		c.ahead = c.ahead[:len(c.ahead)+max(n, 0)]
+		l.coming.Add(int64(max(n, 0)))
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// The wait may be over; else a deadline was left from before, or the connection is to be
+			// passed on, which the reader sees after its wait. The order matters: that the wait is over
+			// is told before the deadline that interrupts this.
+			_ = c.conn.SetReadDeadline(time.Time{})
+			select {
+			case <-over:
+				return
+			default:
+			}
+		case errors.Is(err, net.ErrClosed):
+			return // by this gateway
+		case err != nil:
+			c.leave(l)
+			return
+		}
+	}
+}
+
+// Read reads what an earlier process has left and what was read ahead, then from the connection. That the
 // connection is to be passed on interrupts the wait for a command, but none that
 // has begun.
 func (c *client) Read(b []byte) (int, error) {
@@ -369,6 +449,14 @@
 		c.unread = c.unread[n:]
 		return n, nil
 	}
+	if len(c.ahead) > 0 {
+		n := copy(b, c.ahead)
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil // not to be kept for a connection that idles
+		}
+		c.coming.Add(-int64(n))
+		return n, nil
+	}
 	n, err := c.conn.Read(b)
 	if n > 0 {
 		c.active.Store(time.Now().UnixMicro())
@@ -405,6 +493,9 @@
 	cfg    *Config
 }
 
+// comingMost is how many bytes may wait for the loop.
+func (cfg *Config) comingMost() int64 { return int64(cfg.MemoryMB) << 20 / 8 }
+
 // take reads one command.
 func (e *taken) take(l *Loop, in *resp.Reader) {
 	args, large, err := in.ReadHead()
@@ -424,7 +515,7 @@
 		if large > 0 {
 			e.body = &body{size: large, to: make(chan *backendConn, 1)}
 		}
-		if l.coming.Add(int64(e.size)) > int64(e.cfg.MemoryMB)<<20/8 {
+		if l.coming.Add(int64(e.size)) > e.cfg.comingMost() {
 			// What waits for the loop counts too: it must not grow with what comes.
 			l.coming.Add(-int64(e.size))
 			e.cmd.args, e.args, e.size, e.full = nil, nil, 0, true
