Begin no attempt for a client whose end still waits in the loop's queue

Cause, read in the code and forced in tests: `left` is posted behind up to 1024 events. Until it was handled a request in the queue, a connection that came up and a failed attempt each led to a send for a client known by its reader to have gone.

Commands in the queue are still taken: what the gateway itself answers is answered as before.

Each test fails with its line taken out: the check in `give`, that in `start`, and `Over` of the outcome (three attempts were made). How long the queue takes to work off was not measured: the trial for it hung and was given up.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -139,9 +139,9 @@
 	a.backend = number
 	b := bs.byNumber[number]
 	a.giveUp = l.at(a.until, giveUp{a})
-	if b == nil || b.state != decide.Ready || a.r != nil && !a.r.body.free() {
-		// It must not, or can't be sent: a body that has gone to an earlier attempt
-		// is kept nowhere.
+	if b == nil || b.state != decide.Ready || a.r != nil && (!a.r.body.free() || a.r.client.closed.Load()) {
+		// It must not, or can't be sent: nobody waits for it, or a body that has gone to
+		// an earlier attempt is kept nowhere.
 		l.finish(a, decide.Moot, nil)
 		return
 	}
@@ -337,8 +337,8 @@
 	for len(b.waiting) > 0 {
 		a := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		if a.r != nil && !l.module.Holds(l.now(), a.r.id, a.number) {
-			l.finish(a, decide.Moot, nil) // it waited for too long
+		if a.r != nil && (a.r.client.closed.Load() || !l.module.Holds(l.now(), a.r.id, a.number)) {
+			l.finish(a, decide.Moot, nil) // it waited for too long, or nobody does any more
 			continue
 		}
 		if bs.write(l, c, a) {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -166,6 +166,83 @@
 	wantFigures(t, second, "fulfilled.once=1")
 }
 
+// A client leaves between an attempt that failed and the next: the loop learns of both in this order.
+func TestNoFurtherAttemptForAClientGone(t *testing.T) {
+	depart(t, func(t *testing.T, leave func(*testClient)) {
+		l, b, begun, letGo := oneHeld(t)
+		defer close(letGo)
+		c := byHand(t, l, "c=order,k=5c0f6e1a2b3d4c59")
+		wait(t, begun, "the dial")
+		letGo <- struct{}{}
+		handle(t, l, "the dial's end")
+		b.next(t).conn.Close()
+		queue(l, 1)
+		leave(c)
+		queue(l, 2)
+		var r *request
+		for _, r = range l.requests {
+		}
+		handle(t, l, "the reset")
+		if n := l.backends.byNumber[1].dialing; n != 0 || r.attempts != 1 {
+			t.Errorf("%d attempts, %d dials for a client that has gone", r.attempts, n)
+		}
+		handle(t, l, "the client's end")
+		if len(l.requests) != 0 || l.open != 0 {
+			t.Errorf("%d requests are kept, %d open", len(l.requests), l.open)
+		}
+	})
+}
+
+// A connection comes up, and the client's end waits behind that in the loop's queue.
+func TestAnEndInTheQueueCounts(t *testing.T) {
+	depart(t, func(t *testing.T, leave func(*testClient)) {
+		l, b, begun, letGo := oneHeld(t)
+		c := byHand(t, l, "c=once")
+		wait(t, begun, "the dial")
+		close(letGo)
+		queue(l, 1)
+		leave(c)
+		queue(l, 2)
+		handle(t, l, "the dial's end")
+		if len(l.backends.byNumber[1].idle) != 1 {
+			t.Fatal("sent on")
+		}
+		handle(t, l, "the client's end")
+		l.backends.drop(l.backends.byNumber[1])
+		wait(t, b.ended, "the connection's end")
+		if len(b.got) > 0 {
+			t.Error("sent on")
+		}
+	})
+}
+
+// A request waits in the loop's queue, with its client's end behind it, and a connection stands idle.
+func TestAnEndBehindItsRequestInTheQueueCounts(t *testing.T) {
+	depart(t, func(t *testing.T, leave func(*testClient)) {
+		l, b, begun, letGo := oneHeld(t)
+		c := byHand(t, l, "c=once")
+		wait(t, begun, "the dial")
+		close(letGo)
+		handle(t, l, "the dial's end")
+		b.next(t).serve(t, "ok")
+		handle(t, l, "the answer")
+		c.value("ok")
+		later(l, restFor)
+		c.book(2, "team")
+		queue(l, 1)
+		leave(c)
+		queue(l, 2)
+		handle(t, l, "the second request")
+		if n := len(l.backends.byNumber[1].idle); n != 1 {
+			t.Fatalf("sent on: %d idle connections", n)
+		}
+		handle(t, l, "the client's end")
+		if len(l.requests) != 0 || l.open != 0 || l.held != 0 {
+			t.Errorf("%d requests are kept, %d open, %d bytes", len(l.requests), l.open, l.held)
+		}
+	})
+}
+
 // A client leaves amid a large body, or behind it, that waits for its connection: what stands
 // before it in the line is not sent on either.
 func TestAnEndBehindABodyThatWaitsIsSeen(t *testing.T) {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -174,7 +174,7 @@
 	}
 	ended := decide.Outcome{
 		ID: r.id, Attempt: o.a.number, Backend: o.a.backend, Result: o.result,
-		Took: o.took, Over: r.answered || r.begun, TrueUnits: o.units, Load: o.load,
+		Took: o.took, Over: r.answered || r.begun || r.client.closed.Load(), TrueUnits: o.units, Load: o.load,
 	}
 	l.mirror(msgOutcome, ended)
 	l.module.Outcome(l.now(), ended)
