Hold by tests that nothing that waits outlives its client

No change of the program: a further attempt that waits for a dial, one that waits for a connection's rest, and a request that waits for a home which grants, refuses or says nothing held already. The test for the home covered only a grant.

Seen to fail: the last with the check for a request that has left taken out of `answered`; the first two with what tells of a client's end taken out (only the first ran to its end then), and the case of a first attempt with `forgo` taken out of `close`.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -946,15 +946,29 @@
 	}
 }
 
-// Guards against answering a client that has left while the home was asked.
+// Guards against answering a client that has left while the home was asked: the home then
+// grants or refuses, or the wait for it runs out.
 func TestAClientThatLeftIsNotAnswered(t *testing.T) {
-	_, member := wideRigs(t)
-	member.Request(member.at, Request{ID: 1, Customer: 9, Units: 1, Grace: 2 * second, First: member.firsts[9], Spread: 12})
-	member.Gone(member.at, 1)
-	member.done = nil
-	member.Peer(member.at, 0, grant{id: 9, part: 1, ask: 1, yes: true}.put(noteHead(1, 0, 0)))
-	if len(member.done) != 0 || len(member.waiting) != 0 {
-		t.Errorf("acted for a client that left: %v, %d waiting", member.done, len(member.waiting))
+	says := func(yes bool) func(*rig) {
+		return func(member *rig) {
+			member.Peer(member.at, 0, grant{id: 9, part: 1, ask: 1, yes: yes}.put(noteHead(1, 0, 0)))
+		}
+	}
+	for name, then := range map[string]func(*rig){
+		"yes": says(true), "no": says(false),
+		"nothing": func(member *rig) { member.Timer(member.at+second/10, askToken) },
+	} {
+		_, member := wideRigs(t)
+		member.Request(member.at, Request{ID: 1, Customer: 9, Units: 1, Grace: 2 * second, First: member.firsts[9], Spread: 12})
+		if len(member.waiting) != 1 {
+			t.Fatalf("%s: %d wait for the home", name, len(member.waiting))
+		}
+		member.Gone(member.at, 1)
+		member.done = nil
+		then(member)
+		if len(member.done) != 0 || len(member.waiting) != 0 {
+			t.Errorf("%s: acted for a client that left: %v, %d waiting", name, member.done, len(member.waiting))
+		}
 	}
 }
 
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -166,6 +166,24 @@
 	wantFigures(t, second, "fulfilled.once=1")
 }
 
+// A client leaves while a further attempt waits for its connection.
+func TestAFurtherAttemptWaitsForNobodyGone(t *testing.T) {
+	depart(t, func(t *testing.T, leave func(*testClient)) {
+		l, b, begun, letGo := oneHeld(t)
+		c := byHand(t, l, "c=order,k=5c0f6e1a2b3d4c59")
+		wait(t, begun, "the dial")
+		letGo <- struct{}{}
+		handle(t, l, "the dial's end")
+		b.next(t).conn.Close()
+		wait(t, b.ended, "the first connection's end")
+		handle(t, l, "the reset")
+		wait(t, begun, "the second dial")
+		leave(c)
+		handle(t, l, "the client's end")
+		nothingSent(t, l, b, letGo)
+	})
+}
+
 // A client leaves between an attempt that failed and the next: the loop learns of both in this order.
 func TestNoFurtherAttemptForAClientGone(t *testing.T) {
 	depart(t, func(t *testing.T, leave func(*testClient)) {
@@ -243,6 +261,30 @@
 	})
 }
 
+// A client leaves while its request waits for a connection that rests, and for a dial.
+func TestWhatWaitsForARestEndsWithItsClient(t *testing.T) {
+	depart(t, func(t *testing.T, leave func(*testClient)) {
+		l, b, begun, letGo := oneHeld(t)
+		c := byHand(t, l, "c=once")
+		wait(t, begun, "the dial")
+		letGo <- struct{}{}
+		handle(t, l, "the dial's end")
+		b.next(t).serve(t, "ok")
+		handle(t, l, "the answer")
+		c.value("ok")
+		c.book(2, "team")
+		handle(t, l, "the second request")
+		wait(t, begun, "a dial beside the connection that rests")
+		leave(c)
+		turn(t, l, "the client's end", func() bool { return len(l.clients.conns) == 0 })
+		later(l, restFor)
+		if idle := len(l.backends.byNumber[1].idle); idle != 1 {
+			t.Errorf("%d idle connections, want the one that rested", idle)
+		}
+		nothingSent(t, l, b, letGo)
+	})
+}
+
 // A client leaves amid a large body, or behind it, that waits for its connection: what stands
 // before it in the line is not sent on either.
 func TestAnEndBehindABodyThatWaitsIsSeen(t *testing.T) {
