Take a large body's last bytes for sent from the moment that they are written

A backend that has the whole of a large body may run it, and answer, before the loop is told of the body's end (bodyWhole, posted behind the last write): halfway still held, and finishWith made the outcome one that never ran.

A flag set before the last bytes are written ends halfway; a connection on which the end of the body is not known to be written is still not used again.

--- a/internal/gateway/backends.go
+++ b/internal/gateway/backends.go
@@ -488,8 +488,8 @@
 		}
 		return
 	}
-	if a.halfway() {
-		e.more = true // the rest of its body will not be written
+	if a.unended() {
+		e.more = true // the rest of its body will not be written, or is being written now
 	}
 	result, value, use, load, fine := classify(e.reply, a.r == nil)
 	if e.spoilt && value == nil {
--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"mothcleat/decide"
@@ -14,6 +15,7 @@
 type body struct {
 	size int
 	to   chan *backendConn // where it goes, nil: nowhere
+	last atomic.Bool       // its last bytes are being written: the attempt may run from now on
 
 	// the loop's
 	r       *request
@@ -36,7 +38,10 @@
 func (b *body) drop() { b.pass(nil) }
 
 // halfway tells whether an attempt's body is not written to its end.
-func (a *attempt) halfway() bool { return a.r != nil && a.r.body != nil && a.conn != nil && !a.whole }
+func (a *attempt) halfway() bool { return a.unended() && !a.r.body.last.Load() }
+
+// unended tells whether it is not known that an attempt's body is written to its end.
+func (a *attempt) unended() bool { return a.r != nil && a.r.body != nil && a.conn != nil && !a.whole }
 
 // relayBody passes a body on as it is read, a buffer at a time: a backend that takes it slowly
 // holds up the reading, and nothing else. It runs in the client's reader, and tells whether the
@@ -83,6 +88,7 @@
 	}
 	switch {
 	case err == nil:
+		b.last.Store(to != nil)
 		write([]byte("\r\n"))
 		if to != nil {
 			l.post(bodyWhole{b})
@@ -101,7 +107,7 @@
 type bodyWhole struct{ b *body }
 
 func (e bodyWhole) handle(*Loop) {
-	if a := e.b.conn.a; a != nil && a.r == e.b.r && a.halfway() {
+	if a := e.b.conn.a; a != nil && a.r == e.b.r && a.unended() {
 		a.relayed()
 	}
 }
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"testing"
+
+	"mothcleat/decide"
 )
 
 // bodyHead is a command up to its large body.
@@ -95,3 +97,44 @@
 	b.next(t).serve(t, "ok")
 	c.value("ok")
 }
+
+// A backend answers, fails or ends before the loop is told that the body's last byte was written: the
+// request may have run, and its client hears of nothing that says otherwise.
+func TestAnswerThatCrossesTheEndOfItsBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*testing.T, *backendCall)
+		want string
+	}{
+		"value": {func(t *testing.T, call *backendCall) { call.serve(t, "ok") }, "$2"},
+		"error": {func(t *testing.T, call *backendCall) { call.answer(t, "-ERR failed\r\n") }, "-ERR failed"},
+		"end":   {func(t *testing.T, call *backendCall) { call.conn.Close() }, "-ERR failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t)
+			l := unstarted(t, newFakeDiscovery(t))
+			l.backends.members(l, decide.Whole, []member{
+				{ID: "s-00000001", HostPort: b.listener.Addr().String(), Phase: "Ready"}})
+			l.clients.resume(l)
+			t.Cleanup(l.clients.pause)
+			client := (&rig{addr: l.clients.listener.Addr().String()}).client(t)
+			handle(t, l, "the connection")
+			_, body := largeHead()
+			client.raw(bodyHead(1, "team", len(body)) + body + "\r\n")
+			handle(t, l, "the request")
+			handle(t, l, "the dial's end")
+			c.end(t, b.next(t))
+			var whole, answer event
+			for whole == nil || answer == nil {
+				switch e := wait(t, l.events, "the body's end and the answer").(type) {
+				case bodyWhole:
+					whole = e
+				case replied:
+					answer = e
+				}
+			}
+			l.handle(answer)
+			l.handle(whole)
+			client.want(c.want)
+		})
+	}
+}
