Give the end of a large body its time again after the last write

Where the reader waits for a backend it now reads ahead and leaves no read deadline behind (meanwhile), so the two bytes that end a body's command could fail to come for ever: its connection stayed open. The deadline of the last part is set again. The test finds the connection open without it; 20 times with -race.

--- a/internal/gateway/bodies.go
+++ b/internal/gateway/bodies.go
@@ -84,6 +84,7 @@
 		return false
 	}
 	if err == nil {
+		_ = c.conn.SetReadDeadline(c.until)
 		err = in.ReadEnd()
 	}
 	switch {
--- a/internal/gateway/bodies_test.go
+++ b/internal/gateway/bodies_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"mothcleat/decide"
 )
@@ -138,3 +142,15 @@
 		})
 	}
 }
+
+// All of a large body comes but what ends its command: the connection is cut off as for any half command.
+func TestBodyWithoutItsEndIsCutOff(t *testing.T) {
+	r, _, _ := oneBackend(t, nil)
+	c := r.client(t)
+	_, body := largeHead()
+	c.raw(bodyHead(1, "team", len(body)) + body)
+	_ = c.conn.SetReadDeadline(time.Now().Add(patience))
+	if b, err := io.ReadAll(c.in); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after %q it is still open", b)
+	}
+}
