Let a cold backend's saved-up send lapse, so that many slow gateways hold no burst for it

The issue: a cold backend gets at most N + 2 x root of N + 2 requests from all gateways in a span. Each gateway kept its saved-up send for as long as the backend was cold: the cap was one send at least, also where its part of the span's half came to a fiftieth of one.

Where a gateway's part of half a span is under one send, a send that is not used within that time lapses now and the next one comes at its turn. The drawn levels at the start keep the gateways apart.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -599,8 +599,15 @@
 		each = 0 // those that it is near to see to it
 	}
 	b.cold.rate = math.Max(each, least) * share * math.Max(1, coldPart*g.set.Overload)
-	b.cold.cap = math.Max(1, b.cold.rate*span/2)
-	b.cold.refill(g.now)
+	// What a gateway can't save up in that time lapses, and the next comes at its turn: else many
+	// slow ones would each hold a whole send for it, and send them all at one moment.
+	saved := b.cold.rate * span / 2
+	if b.cold.cap = saved; saved < 1 {
+		b.cold.cap = 1 + saved
+	}
+	if spill := b.cold.refill(g.now); saved < 1 && spill > 0 {
+		b.cold.level = saved + math.Mod(spill, 1)
+	}
 	return b.cold.level >= 1
 }
 
