Keep to a part of the overload factor also where that factor is small

Where the factor is under 1/0.6 it was sent the whole share of a warm one's pace instead, which with the half on top is 1.5 times its capacity, whatever the settings call too much. Factors of 1.67 and more, and none told, are decided as before.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -454,6 +454,7 @@
 			})
 		}},
 		{name: "few backends, arcs", cold: 0.5, backends: 12, price: 0.08, uneven: true, load: over},
+		{name: "tips early", cold: 0.5, load: full, set: func(set *Settings) { set.Overload, set.TipAfter = 1.1, 6*second }},
 		{name: "an older list has them drain", cold: 0.3, load: full, avoided: true, then: func(p *coldPlay) {
 			p.at(p.now+second/4, func() { p.tellAll(Draining) })
 			p.at(p.now+7*second, func() { p.tellAll(Ready) })
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -598,7 +598,11 @@
 	if !b.near {
 		each = 0 // those that it is near to see to it
 	}
-	b.cold.rate = math.Max(each, least) * share * math.Max(1, coldPart*g.set.Overload)
+	bears := 1.0
+	if g.set.Overload > 0 { // of a small one no more either: half a span's worth may come on top
+		bears = coldPart * g.set.Overload
+	}
+	b.cold.rate = math.Max(each, least) * share * bears
 	// What a gateway can't save up in that time lapses, and the next comes at its turn: else many
 	// slow ones would each hold a whole send for it, and send them all at one moment.
 	saved := b.cold.rate * span / 2
