Let the pace of warm backends stand while none of them is left near

With all backends cold, or all warm ones gone, what each gateway sends a cold one followed a pace that faded over 4 s, as nothing warm was left to be sent anything: to 0.35 to 0.40 of what the cold ones can serve in ten seconds, while three in four tries were refused. Where only the near ones were gone, all that went to far warm ones counted as one backend's pace: from 6.5 to 31.5 in 5 s in the test.

The pace stands now while no warm backend is near, and only sends beside a near one count.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -31,6 +31,7 @@
 	lateBy   Time
 	lists    bool    // lists come twice a second, every other one from before the start
 	avoided  bool    // trouble turns traffic from the cold ones: they may idle
+	use      float64 // the part of what they can serve that they are sent at least; 0: a quarter
 	zone     int     // the zone that starts cold; 0: any
 	cross    float64 // of crossing zones
 	load     func(age Time) float64
@@ -437,6 +438,8 @@
 		{name: "lull", cold: 0.3, load: lull},
 		{name: "some hear late", cold: 0.2, late: 0.2, lateBy: 2 * second},
 		{name: "many cold", cold: 0.7, load: burst},
+		{name: "all cold", cold: 1, load: over, use: 0.6},
+		{name: "warm ones leave", cold: 0.4, use: 0.6, then: func(p *coldPlay) { p.at(p.now+second, leave(p)) }},
 		{name: "fleet restarts", cold: 0.3, then: restart},
 		{name: "fleet restarts, arcs, uneven", cold: 0.5, price: 0.08, uneven: true, then: restart},
 		{name: "two lists", cold: 0.3, lists: true},
@@ -471,7 +474,7 @@
 				if worst > 1 {
 					t.Errorf("a cold backend was sent %.0f in a span, %.0f of them by gateways told: %.0f at most", all, told, budget)
 				}
-				if p.used() < 0.25 && !c.avoided {
+				if p.used() < max(c.use, 0.25) && !c.avoided {
 					t.Errorf("cold backends were sent %.2f of what they could serve", p.used())
 				}
 				t.Logf("%s/%d: worst %.2f (%.0f, told %.0f, of %.0f), strict %.2f, used %.2f, served %d of %d",
@@ -480,3 +483,32 @@
 		}
 	}
 }
+
+// Guards against a pace that takes all that far warm backends are sent for one near one's.
+func TestThePaceStandsWhileNoWarmBackendIsNear(t *testing.T) {
+	set := settings()
+	set.Gateways, set.HandshakePrice = 80, 0.08
+	r := newRig(t, set)
+	list := members(20)
+	r.Members(r.at, Whole, list)
+	for range 200 {
+		r.at += second / 20
+		r.serve(0, 1, 9, 1)
+	}
+	for i := range list {
+		if r.byID[list[i].Backend].near {
+			list[i].Started = r.at
+		}
+	}
+	before := r.pace.get(r.at, paceTime)
+	r.Members(r.at, Whole, list)
+	sent := 0
+	for i := range 100 {
+		r.at += second / 20
+		sent += int(step(r.serve(0, 1, uint64(i), 1)))
+	}
+	if sent < 50 || before == 0 {
+		t.Fatalf("%d of 100 sent, the pace was %g: want the far ones used", sent, before)
+	}
+	near(t, "the pace", r.pace.get(r.at, paceTime), before)
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -593,16 +593,11 @@
 		return share == 1
 	}
 	span := float64(g.set.TipAfter) / float64(second)
-	each := g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
-	least := 1 / math.Max(span, 1) / float64(g.set.Gateways) // one send in a span through all
-	if !b.near {
-		each = 0 // those that it is near to see to it
-	}
 	bears := 1.0
 	if g.set.Overload > 0 { // of a small one no more either: half a span's worth may come on top
 		bears = coldPart * g.set.Overload
 	}
-	b.cold.rate = math.Max(each, least) * share * bears
+	b.cold.rate = bears * math.Max(g.coldPace(b, share), share/math.Max(span, 1)/float64(g.set.Gateways))
 	// What a gateway can't save up in that time lapses, and the next comes at its turn: else many
 	// slow ones would each hold a whole send for it, and send them all at one moment.
 	saved := b.cold.rate * span / 2
@@ -653,6 +648,9 @@
 			}
 		}
 	}
+	if g.warm == 0 {
+		g.pace.at = g.now // none is left to tell what a warm one takes: what it took last stands
+	}
 }
 
 // held is how many attempts the back end holds for this gateway. Those past their aim count as
--- a/decide/state.go
+++ b/decide/state.go
@@ -575,6 +575,15 @@
 	return -1
 }
 
+// coldPace is how much of its capacity this gateway may use of a cold backend a second: that of a
+// warm one's pace.
+func (g *Gateway) coldPace(b *backend, share float64) float64 {
+	if !b.near {
+		return 0 // those that it is near to see to it
+	}
+	return share * g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
+}
+
 // coldBank is what a cold backend may be sent at first: less than one, drawn, so that
 // of many gateways neither all nor none send at once.
 func (g *Gateway) coldBank() bank { return bank{level: g.rand.Float64(), at: g.now} }
@@ -591,8 +600,8 @@
 	r.c.open++
 	if g.share(b) < 1 {
 		b.cold.level--
-	} else {
-		g.pace.add(g.now, paceTime, 1/float64(max(1, g.warm)))
+	} else if g.warm > 0 {
+		g.pace.add(g.now, paceTime, 1/float64(g.warm))
 	}
 }
 
