Send cold backends a core's worth where a new process knows no warm one

A fleet that restarts while all backends are cold knows no pace: all gateways together sent a backend one request in a span, 0.12 to 0.14 of what they can serve in ten seconds, though every one answers. No backend has less than one core. Where no warm one is near, what the gateways near to a cold one send it together is what one core answers at its share of capacity, by the answers of cold ones, and before any has come, by the shortest aim. A second process takes over what was learnt of it.

Ruled out: learning the usual times of answers from cold ones, as patience and slowness rest on those.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -442,6 +442,7 @@
 		{name: "warm ones leave", cold: 0.4, use: 0.6, then: func(p *coldPlay) { p.at(p.now+second, leave(p)) }},
 		{name: "fleet restarts", cold: 0.3, then: restart},
 		{name: "fleet restarts, arcs, uneven", cold: 0.5, price: 0.08, uneven: true, then: restart},
+		{name: "fleet restarts at all cold", cold: 1, load: over, then: restart},
 		{name: "two lists", cold: 0.3, lists: true},
 		{name: "cut off while cold, warm ones leave", cold: 0.3, avoided: true, then: func(p *coldPlay) {
 			cut(p, 1, 4)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -479,6 +479,8 @@
 		if r == OK && share == 1 {
 			g.mean.add(took, learn)
 			g.base[class].add(took, learn)
+		} else if r == OK {
+			g.coldMean.add(took*share, learn)
 		}
 		if g.base[class].v > 0 {
 			b.slowBy(g.now, took*share/g.base[class].v)
--- a/decide/handover.go
+++ b/decide/handover.go
@@ -25,7 +25,7 @@
 	Open      []OpenState
 
 	InTime, Peers, PeersHeld, PeersInTime, Pace [2]float64 // a fading sum and when
-	Mean, Late, Worth                           [2]float64 // a mean and of how many
+	Mean, ColdMean, Late, Worth                 [2]float64 // a mean and of how many
 	Base                                        [][2]float64
 	Grace                                       [][][2]float64
 	Again                                       float64
@@ -99,7 +99,7 @@
 		Boots: g.boots, HeardAt: g.heardAt, Turns: g.turns, Lend: g.lend.state(), IdleSpill: g.idleSpill,
 		InTime: g.inTime.state(), Peers: g.peers.state(), PeersHeld: g.peersHeld.state(),
 		PeersInTime: g.peersInTime.state(), Pace: g.pace.state(),
-		Mean: g.mean.state(), Late: g.late.state(), Worth: g.worth.state(), Again: g.again,
+		Mean: g.mean.state(), ColdMean: g.coldMean.state(), Late: g.late.state(), Worth: g.worth.state(), Again: g.again,
 	}
 	for _, c := range g.set.Classes {
 		s.Classes = append(s.Classes, c.Name)
@@ -215,7 +215,8 @@
 	}
 	g.inTime, g.peers, g.peersHeld = fadingOf(s.InTime), fadingOf(s.Peers), fadingOf(s.PeersHeld)
 	g.peersInTime, g.pace = fadingOf(s.PeersInTime), fadingOf(s.Pace)
-	g.mean, g.late, g.worth, g.again = meanOf(s.Mean), meanOf(s.Late), meanOf(s.Worth), s.Again
+	g.mean, g.coldMean, g.late = meanOf(s.Mean), meanOf(s.ColdMean), meanOf(s.Late)
+	g.worth, g.again = meanOf(s.Worth), s.Again
 	for i, m := range s.Base {
 		if class[i] >= 0 {
 			g.base[class[i]] = meanOf(m)
--- a/decide/state.go
+++ b/decide/state.go
@@ -102,6 +102,7 @@
 	again                         float64             // further attempts allowed
 	shortAim                      Time
 	mean                          mean   // mean time an answer takes
+	coldMean                      mean   // the same of cold backends, as if they were warm
 	base                          []mean // the same of each class
 	counts                        counts // since the last report
 	worth                         mean   // mean worth for work
@@ -576,12 +577,25 @@
 }
 
 // coldPace is how much of its capacity this gateway may use of a cold backend a second: that of a
-// warm one's pace.
+// warm one's pace. With no warm one near it is one core's at least, cut over the gateways near to it:
+// no backend has less. How long a core takes is told by the cold ones' answers, till then by the aim.
 func (g *Gateway) coldPace(b *backend, share float64) float64 {
 	if !b.near {
 		return 0 // those that it is near to see to it
 	}
-	return share * g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
+	pace := share * g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
+	if g.warm > 0 {
+		return pace
+	}
+	near := g.set.Gateways
+	if g.set.HandshakePrice > 0 {
+		near = min(near, nearShared)
+	}
+	took := float64(g.shortAim)
+	if g.coldMean.v > 0 {
+		took = g.coldMean.v
+	}
+	return math.Max(pace, share*float64(second)/took/float64(near))
 }
 
 // coldBank is what a cold backend may be sent at first: less than one, drawn, so that
