Remember that a backend is cold while lists leave it out

A backend that a whole list leaves out was forgotten once it held nothing, with the time of its start. An older list, from before the start, then brought it back as one that has run for long, and gateways that had been told of the start sent it as much as a warm one.

--- a/decide/cold_test.go
+++ b/decide/cold_test.go
@@ -429,6 +429,7 @@
 			p.tell()
 		}
 	}
+	early := func(set *Settings) { set.Overload, set.ColdFrom = 1.5, 0.15 }
 	rise := func(age Time) float64 { return 0.2 + 0.8*step(age > 6*second) }
 	cases := []coldCase{
 		{name: "even", cold: 0.2},
@@ -464,6 +465,14 @@
 			p.at(p.now+7*second, func() { p.tellAll(Ready) })
 		}},
 		{name: "short span", cold: 0.3, load: burst, set: func(set *Settings) { set.TipAfter = second }},
+		{name: "an older list without them, then one from before", cold: 0.3, load: full, set: early, then: func(p *coldPlay) {
+			p.at(p.now+second/10, func() { p.tellAll(Left) })
+			p.at(p.now+second/5, func() {
+				for _, n := range p.nodes {
+					n.Members(p.now, Whole, p.list(true))
+				}
+			})
+		}},
 	}
 	for _, c := range cases {
 		for _, gateways := range []int{3, 20, 30, 300} {
--- a/decide/state.go
+++ b/decide/state.go
@@ -200,10 +200,11 @@
 	return b
 }
 
-// prune forgets backends that are no longer listed and hold nothing.
+// prune forgets backends that are no longer listed and hold nothing. One that is cold is kept till
+// it is warm: an older list may bring it back as one that has run for long.
 func (g *Gateway) prune() {
 	g.backends = slices.DeleteFunc(g.backends, func(b *backend) bool {
-		gone := !b.listed && b.out == 0
+		gone := !b.listed && b.out == 0 && g.share(b) == 1
 		if gone {
 			delete(g.byID, b.Backend)
 		}
