--- a/decide/decide.go
+++ b/decide/decide.go
@@ -479,6 +479,8 @@
 		if r == OK && share == 1 {
 			g.mean.add(took, learn)
 			g.base[class].add(took, learn)
+		} else if r == OK {
+			g.coldMean.add(took*share, learn)
 		}
 		if g.base[class].v > 0 {
 			b.slowBy(g.now, took*share/g.base[class].v)
@@ -593,14 +595,20 @@
 		return share == 1
 	}
 	span := float64(g.set.TipAfter) / float64(second)
-	each := g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
-	least := 1 / math.Max(span, 1) / float64(g.set.Gateways) // one send in a span through all
-	if !b.near {
-		each = 0 // those that it is near to see to it
+	bears := 1.0
+	if g.set.Overload > 0 { // of a small one no more either: half a span's worth may come on top
+		bears = coldPart * g.set.Overload
+	}
+	b.cold.rate = bears * math.Max(g.coldPace(b, share), share/math.Max(span, 1)/float64(g.set.Gateways))
+	// What a gateway can't save up in that time lapses, and the next comes at its turn: else many
+	// slow ones would each hold a whole send for it, and send them all at one moment.
+	saved := b.cold.rate * span / 2
+	if b.cold.cap = saved; saved < 1 {
+		b.cold.cap = 1 + saved
+	}
+	if spill := b.cold.refill(g.now); saved < 1 && spill > 0 {
+		b.cold.level = saved + math.Mod(spill, 1)
 	}
-	b.cold.rate = math.Max(each, least) * share * math.Max(1, coldPart*g.set.Overload)
-	b.cold.cap = math.Max(1, b.cold.rate*span/2)
-	b.cold.refill(g.now)
 	return b.cold.level >= 1
 }
 
@@ -642,6 +650,9 @@
 			}
 		}
 	}
+	if g.warm == 0 {
+		g.pace.at = g.now // none is left to tell what a warm one takes: what it took last stands
+	}
 }
 
 // held is how many attempts the back end holds for this gateway. Those past their aim count as
--- a/decide/state.go
+++ b/decide/state.go
@@ -102,6 +102,7 @@
 	again                         float64             // further attempts allowed
 	shortAim                      Time
 	mean                          mean   // mean time an answer takes
+	coldMean                      mean   // the same of cold backends, as if they were warm
 	base                          []mean // the same of each class
 	counts                        counts // since the last report
 	worth                         mean   // mean worth for work
@@ -199,10 +200,11 @@
 	return b
 }
 
-// prune forgets backends that are no longer listed and hold nothing.
+// prune forgets backends that are no longer listed and hold nothing. One that is cold is kept till
+// it is warm: an older list may bring it back as one that has run for long.
 func (g *Gateway) prune() {
 	g.backends = slices.DeleteFunc(g.backends, func(b *backend) bool {
-		gone := !b.listed && b.out == 0
+		gone := !b.listed && b.out == 0 && g.share(b) == 1
 		if gone {
 			delete(g.byID, b.Backend)
 		}
@@ -575,6 +577,28 @@
 	return -1
 }
 
+// coldPace is how much of its capacity this gateway may use of a cold backend a second: that of a
+// warm one's pace. With no warm one near it is one core's at least, cut over the gateways near to it:
+// no backend has less. How long a core takes is told by the cold ones' answers, till then by the aim.
+func (g *Gateway) coldPace(b *backend, share float64) float64 {
+	if !b.near {
+		return 0 // those that it is near to see to it
+	}
+	pace := share * g.pace.get(g.now, paceTime) * float64(second) / float64(paceTime)
+	if g.warm > 0 {
+		return pace
+	}
+	near := g.set.Gateways
+	if g.set.HandshakePrice > 0 {
+		near = min(near, nearShared)
+	}
+	took := float64(g.shortAim)
+	if g.coldMean.v > 0 {
+		took = g.coldMean.v
+	}
+	return math.Max(pace, share*float64(second)/took/float64(near))
+}
+
 // coldBank is what a cold backend may be sent at first: less than one, drawn, so that
 // of many gateways neither all nor none send at once.
 func (g *Gateway) coldBank() bank { return bank{level: g.rand.Float64(), at: g.now} }
@@ -591,8 +615,8 @@
 	r.c.open++
 	if g.share(b) < 1 {
 		b.cold.level--
-	} else {
-		g.pace.add(g.now, paceTime, 1/float64(max(1, g.warm)))
+	} else if g.warm > 0 {
+		g.pace.add(g.now, paceTime, 1/float64(g.warm))
 	}
 }
 
