Read discovery's list member by member, as long as it comes and as the memory allows

A list was bounded by 8 MiB whatever the memory, and had a second from its first byte to its last: 83,000 backends are 9 to 12.6 MB, so a gateway never had their list, and began to read it anew up to ten times a second for ever. Its text was held as a whole beside what was decoded of it.

Now the list is read member by member; it may be an eighth of limits.memory_mb (32 MB for 256), as what is kept of it takes three times its text. A call goes on as long as more comes of its list, for 6 s in all, the time in which what it has to tell counts as told. One too long is refused as "longer than limits.memory_mb allows", the last one stays, and it is asked for again within 2 s.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"mothcleat/decide"
@@ -53,7 +54,7 @@
 	retryAfter = 100 * time.Millisecond // after a call that failed: drawn from up to so much,
 	retryMost  = 2 * time.Second        // doubled with each in a row up to this, where all call one service
 	tooSoon    = 50 * time.Millisecond  // for a watch that tells nothing
-	mostList   = 8 << 20                // bytes
+	listShare  = 8                      // a list may be this part of the memory: what is kept of it takes three times its text
 )
 
 // stay follows no redirect: only the addresses of the configuration are called,
@@ -72,6 +73,7 @@
 	asks    bool          // discovery tells only who asks: one service for the whole fleet; else an agent beside us
 	slack   time.Duration // for an answer after a call's wait is over
 	pause   time.Duration // the longest after a call that was refused, or failed in whatever way at an agent
+	most    int64         // bytes of a list
 	start   chan struct{} // closed when the list is to be followed
 	once    bool
 	zones   []string // by number, this gateway's own first
@@ -84,7 +86,7 @@
 		address: cfg.Discovery, moved: make(chan string, 1),
 		rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed>>32)),
 		asks: cfg.Settings.AskMembers, pause: retryAfter, start: make(chan struct{}), zones: cfg.Host.Zones,
-		slack: watchSlack,
+		slack: watchSlack, most: int64(cfg.MemoryMB) << 20 / listShare,
 	}
 	if d.asks {
 		// The call after the pause has its wait, and is over before what the refused one had to tell
@@ -262,6 +264,8 @@
 func (d *discovery) backoff(failed int, err error) time.Duration {
 	least, most := time.Duration(0), min(retryAfter<<min(failed, 16), retryMost)
 	switch {
+	case errors.Is(err, errTooLong):
+		most = watchWait // it will be as long the next time: to read all of it again at once helps nobody
 	case !d.asks:
 		most = d.pause
 	case errors.Is(err, errBusy):
@@ -309,7 +313,6 @@
 			res.Body.Close()
 		}
 	}()
-	late.Reset(watchSlack) // for the list, which has begun
 	if res.StatusCode != http.StatusOK {
 		if res.StatusCode >= http.StatusInternalServerError || res.StatusCode == http.StatusTooManyRequests {
 			return list, nil, fmt.Errorf("%w: status %s", errBusy, res.Status)
@@ -317,7 +320,9 @@
 		return list, nil, fmt.Errorf("%w: status %s", errVersion, res.Status)
 	}
 	// A list that is cut or has no end must not pass for a short one.
-	if err := json.NewDecoder(io.LimitReader(res.Body, mostList)).Decode(&list); err != nil {
+	body := &listBody{from: res.Body, left: d.most, late: late, end: time.Now().Add(toldWithin)}
+	body.more()
+	if err := list.read(json.NewDecoder(body)); err != nil {
 		return list, nil, fmt.Errorf("discovery list: %w", err)
 	}
 	if version != nil && !list.Complete && list.Revision < *version {
@@ -330,3 +335,90 @@
 		closing()
 	}, nil
 }
+
+// errTooLong tells that a list is longer than the memory allows.
+var errTooLong = errors.New("longer than limits.memory_mb allows")
+
+// listBody is a list that comes: its call goes on as long as more comes of it, in the time in which
+// all of it counts as told.
+type listBody struct {
+	from io.Reader
+	left int64 // bytes that it may still have
+	late *time.Timer
+	end  time.Time
+}
+
+// more gives the call time for the next part.
+func (b *listBody) more() { b.late.Reset(min(watchSlack, time.Until(b.end))) }
+
+func (b *listBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := b.from.Read(p[:min(int64(len(p)), b.left)])
+	if b.left -= int64(n); n > 0 {
+		b.more()
+	}
+	return n, err
+}
+
+// read reads a list member by member: its text is held nowhere as a whole.
+func (l *memberList) read(in *json.Decoder) error {
+	if err := delim(in, '{'); err != nil {
+		return err
+	}
+	for in.More() {
+		key, err := in.Token()
+		if err != nil {
+			return err
+		}
+		switch name := key.(string); { // as encoding/json reads names
+		case strings.EqualFold(name, "revision"):
+			err = in.Decode(&l.Revision)
+		case strings.EqualFold(name, "complete"):
+			err = in.Decode(&l.Complete)
+		case strings.EqualFold(name, "members"):
+			err = l.readMembers(in)
+		default:
+			var other present
+			err = in.Decode(&other)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return delim(in, '}')
+}
+
+func (l *memberList) readMembers(in *json.Decoder) error {
+	l.Members = nil
+	switch open, err := in.Token(); {
+	case err != nil:
+		return err
+	case open == nil: // null: none
+		return nil
+	case open != json.Delim('['):
+		return fmt.Errorf("members: %v where a list is wanted", open)
+	}
+	for in.More() {
+		var m member
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		l.Members = append(l.Members, m)
+	}
+	return delim(in, ']')
+}
+
+// delim reads a bracket.
+func delim(in *json.Decoder, want json.Delim) error {
+	switch got, err := in.Token(); {
+	case errors.Is(err, io.EOF):
+		return io.ErrUnexpectedEOF
+	case err != nil:
+		return err
+	case got != want:
+		return fmt.Errorf("%v where %v is wanted", got, want)
+	}
+	return nil
+}
--- a/internal/gateway/scale_test.go
+++ b/internal/gateway/scale_test.go
@@ -33,7 +33,7 @@
 			b.SetBytes(int64(len(text)))
 			for b.Loop() {
 				var list memberList
-				if err := json.NewDecoder(bytes.NewReader(text)).Decode(&list); err != nil {
+				if err := list.read(json.NewDecoder(bytes.NewReader(text))); err != nil {
 					b.Fatal(err)
 				}
 			}
