Check ceilings over all gateways, real and hollow

Some customers now ask for far more than a plan with a ceiling allows. The stand-ins keep their true stores by the first attempts that reach backends, and count what goes beyond the quota (it costs) and beyond the ceiling's slack (it breaks a rule). Until now results said that neither was checked.

--- a/scale/backends.go
+++ b/scale/backends.go
@@ -18,6 +18,8 @@
 	listener net.Listener
 	catalog  *catalog
 	service  time.Duration
+	ledger   *ledger
+	spreads  []int
 
 	commands    atomic.Int64 // served
 	connections atomic.Int64 // accepted
@@ -34,7 +36,7 @@
 	socketSlack = 50 * time.Millisecond
 )
 
-func newBackends(service time.Duration) (*backends, error) {
+func newBackends(service time.Duration, spreads []int, l *ledger) (*backends, error) {
 	// All of 127.0.0.0/8 needs the unspecified address; bound to the loopback interface it serves nothing else.
 	loopback := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		var err error
@@ -43,11 +45,11 @@
 		}
 		return err
 	}}
-	l, err := loopback.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+	listener, err := loopback.Listen(context.Background(), "tcp4", "0.0.0.0:0")
 	if err != nil {
 		return nil, fmt.Errorf("backends: %w", err)
 	}
-	return &backends{listener: l, service: service}, nil
+	return &backends{listener: listener, service: service, spreads: spreads, ledger: l}, nil
 }
 
 func (b *backends) port() int { return b.listener.Addr().(*net.TCPAddr).Port }
@@ -85,6 +87,9 @@
 			continue
 		}
 		b.drained(member, come)
+		if customer, err := strconv.ParseUint(string(args[1]), 16, 64); err == nil && isCapped(customer, b.spreads) {
+			b.ledger.arrive(customer, string(args[2]), come)
+		}
 		time.Sleep(b.service)
 		b.commands.Add(1)
 		value := append(args[2], ' ')
--- a/scale/clients.go
+++ b/scale/clients.go
@@ -36,14 +36,31 @@
 	rand       *rand.Rand
 }
 
-// draw gives a customer whose set holds the gateway.
-func (d *demand) draw() (customer uint64, first, spread int) {
-	j := d.rand.IntN(perGateway)
-	spread = d.spreads[j%len(d.spreads)]
-	first = (d.self - d.rand.IntN(spread) + d.tier) % d.tier
-	return uint64(first*perGateway+j) + 1, first, spread
+// caller is who sends a request.
+type caller struct {
+	customer      uint64
+	first, spread int
+	capped        bool // on the capped plan
 }
 
+// draw gives a customer whose set holds the gateway. Of the customers whose sets begin at one gateway the
+// first few, one for each spread, are on the capped plan and ask for more than their part.
+func (d *demand) draw() caller {
+	kinds := len(d.spreads)
+	j := kinds + d.rand.IntN(perGateway-kinds)
+	if d.rand.Float64() < cappedShare {
+		j = d.rand.IntN(kinds)
+	}
+	spread := d.spreads[j%kinds]
+	first := (d.self - d.rand.IntN(spread) + d.tier) % d.tier
+	return caller{customerNumber(first, j), first, spread, j < kinds}
+}
+
+func customerNumber(first, j int) uint64 { return uint64(first*perGateway + j) }
+
+// isCapped tells a capped customer by its number.
+func isCapped(customer uint64, spreads []int) bool { return customer%perGateway < uint64(len(spreads)) }
+
 // answers counts how requests ended, each under one of these.
 type answers struct {
 	Sent       int `json:"sent"`
@@ -102,22 +119,25 @@
 		if at.After(end) || !pause(ctx, time.Until(at)) {
 			break
 		}
-		customer, first, spread := c.demand.draw()
 		id := uint64(c.demand.self)<<48 | c.demand.rand.Uint64()>>16
-		command := requestCommand(customer, id, first, spread)
+		command := requestCommand(c.demand.draw(), id)
 		out.Go(func() { c.request(id, command) })
 	}
 	out.Wait()
 	c.hangUp()
 }
 
-func requestCommand(customer, id uint64, first, spread int) []byte {
+func requestCommand(from caller, id uint64) []byte {
+	p := teamPlan
+	if from.capped {
+		p = cappedPlan
+	}
 	b := resp.AppendArray(nil, 4)
 	b = resp.AppendBulk(b, []byte("API.READ"))
-	b = resp.AppendBulk(b, fmt.Appendf(nil, "%016x", customer))
+	b = resp.AppendBulk(b, fmt.Appendf(nil, "%016x", from.customer))
 	b = resp.AppendBulk(b, fmt.Appendf(nil, "%016x", id))
-	return resp.AppendBulk(b, fmt.Appendf(nil, "c=lookup,t=team,d=%d,units=1,spread=%d,first=%d",
-		clientWaits.Milliseconds(), spread, first))
+	return resp.AppendBulk(b, fmt.Appendf(nil, "c=lookup,t=%s,d=%d,units=1,spread=%d,first=%d",
+		p.name, clientWaits.Milliseconds(), from.spread, from.first))
 }
 
 // request sends one request and counts its end.
--- a/scale/experiment.go
+++ b/scale/experiment.go
@@ -57,6 +57,7 @@
 	mostRequests = 2_000.0
 	mostPhase    = time.Minute
 	mostSteps    = 20
+	mostSpreads  = 10
 )
 
 func readExperiment(path string) (*experiment, error) {
@@ -101,8 +102,8 @@
 		return fmt.Errorf("real: %d, 1 to %d wanted", e.Real, mostReal)
 	case e.Known != "list" && e.Known != "empty":
 		return fmt.Errorf("known: %q, list or empty wanted", e.Known)
-	case len(e.Spreads) == 0:
-		return fmt.Errorf("spreads: none")
+	case len(e.Spreads) == 0 || len(e.Spreads) > mostSpreads:
+		return fmt.Errorf("spreads: %d, 1 to %d wanted", len(e.Spreads), mostSpreads)
 	case e.HollowRequests < 0 || e.HollowRequests > mostRequests:
 		return fmt.Errorf("hollow_requests: %g, 0 to %g wanted", e.HollowRequests, mostRequests)
 	case e.Service <= 0 || e.Service > time.Second:
--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -19,6 +19,7 @@
 type hollowTier struct {
 	workers []*worker
 	post    *post
+	ledger  *ledger
 	byPeer  map[netip.AddrPort]int // numbers of hollow and real gateways, by where their notes come from
 	relays  map[int]*relay
 	start   time.Time
@@ -50,6 +51,7 @@
 
 // hollowRequest is one that a hollow gateway has taken.
 type hollowRequest struct {
+	caller
 	attempts, out int
 	over          bool
 }
@@ -86,8 +88,8 @@
 }
 
 // newHollowTier makes hollow gateways of the given numbers. Their notes' addresses replace the sink's.
-func newHollowTier(e *experiment, p *post, numbers []int, members []decide.Member, set func(self int) (decide.Settings, error)) (*hollowTier, error) {
-	t := &hollowTier{post: p, byPeer: map[netip.AddrPort]int{}, relays: map[int]*relay{}, start: time.Now()}
+func newHollowTier(e *experiment, p *post, ledger *ledger, numbers []int, members []decide.Member, set func(self int) (decide.Settings, error)) (*hollowTier, error) {
+	t := &hollowTier{post: p, ledger: ledger, byPeer: map[netip.AddrPort]int{}, relays: map[int]*relay{}, start: time.Now()}
 	t.wall = t.start.UnixMicro()
 	for _, r := range p.relays {
 		t.byPeer[r.listen] = r.number
@@ -231,12 +233,17 @@
 
 // request has a client's request come.
 func (h *hollow) request(now decide.Time) {
-	customer, first, spread := h.demand.draw()
+	from := h.demand.draw()
 	h.counter++
-	h.open[h.counter] = &hollowRequest{}
+	h.open[h.counter] = &hollowRequest{caller: from}
+	number := 0
+	if from.capped {
+		number = 1
+	}
 	h.w.tier.requests.Add(1)
 	h.module.Request(now, decide.Request{
-		ID: h.counter, Customer: customer, Units: 1, Grace: clientWaits.Microseconds(), First: first, Spread: spread,
+		ID: h.counter, Customer: from.customer, Plan: number, Units: 1,
+		Grace: clientWaits.Microseconds(), First: from.first, Spread: from.spread,
 	})
 }
 
@@ -270,6 +277,9 @@
 func (h *hollow) Send(id uint64, backend uint32, _ decide.Time) {
 	r := h.open[id]
 	number := r.attempts
+	if number == 0 && r.capped {
+		h.w.tier.ledger.arrive(r.customer, "", time.Now())
+	}
 	r.attempts++
 	r.out++
 	h.w.at(h.w.tier.now()+h.w.service, func() {
--- a/scale/play.go
+++ b/scale/play.go
@@ -38,6 +38,7 @@
 	clients  []*clients
 	rand     *rand.Rand
 	known    json.RawMessage
+	ledger   *ledger
 }
 
 const (
@@ -60,7 +61,7 @@
 	}
 	log = log.With("experiment", e.Name, "size", e.Sizes[i], "repeat", repeat)
 	log.Info("begin", "real", r.Real, "hollow", r.Hollow, "backends", p.Backends)
-	s := &stage{e: e, p: p, log: log, program: program, rand: rand.New(rand.NewPCG(uint64(repeat), uint64(i)))}
+	s := &stage{e: e, p: p, log: log, program: program, ledger: newLedger(), rand: rand.New(rand.NewPCG(uint64(repeat), uint64(i)))}
 	if err == nil {
 		err = s.play(ctx, r)
 	}
@@ -72,7 +73,7 @@
 }
 
 // notChecked are rules of the tier that no result says anything of.
-var notChecked = []string{"cold backends within budget", "quotas over all gateways", "ceilings"}
+var notChecked = []string{"cold backends within budget"}
 
 func (s *stage) play(ctx context.Context, r *result) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -111,7 +112,7 @@
 // build makes the stage; nothing moves yet.
 func (s *stage) build(r *result) error {
 	var err error
-	if s.backends, err = newBackends(s.e.Service); err != nil {
+	if s.backends, err = newBackends(s.e.Service, s.e.Spreads, s.ledger); err != nil {
 		return err
 	}
 	s.catalog = newCatalog(s.p.Backends, s.backends.port())
@@ -149,7 +150,7 @@
 	if len(hollow) == 0 {
 		return nil
 	}
-	s.hollow, err = newHollowTier(s.e, s.post, hollow, s.catalog.told(), func(self int) (decide.Settings, error) {
+	s.hollow, err = newHollowTier(s.e, s.post, s.ledger, hollow, s.catalog.told(), func(self int) (decide.Settings, error) {
 		settings, _, err := wire.ParseJSON(settingsOf(s.e, self))
 		if err != nil {
 			return settings, fmt.Errorf("settings: %w", err)
@@ -500,6 +501,7 @@
 		DrainingInGrace: b.draining.Load(), DrainingAfterGrace: b.drainBroken.Load(),
 		DrainLastMS: float64(b.drainLast.Load()) / 1000,
 	}
+	r.Capped = s.ledger.figures()
 	for _, g := range s.reals {
 		for _, a := range g.agents {
 			_, _, refused := a.seen()
--- a/scale/report.go
+++ b/scale/report.go
@@ -228,6 +228,10 @@
 			continue
 		}
 		s := spreadOf(values)
+		if s.Least == s.Most {
+			fmt.Fprintf(b, " %s%s |", short(s.Least), star)
+			continue
+		}
 		fmt.Fprintf(b, " %s / %s / %s%s |", short(s.Least), short(s.Median), short(s.Most), star)
 	}
 	s, ok := fit(xs, ys)
@@ -271,6 +275,9 @@
 	{"members changed under way", func(r *result) int64 { return int64(r.MembersChanged) }},
 	{"sent to drained within the grace", func(r *result) int64 { return r.Backends.DrainingInGrace }},
 	{"sent to drained after the grace", func(r *result) int64 { return r.Backends.DrainingAfterGrace }},
+	{"capped customers' requests sent on", func(r *result) int64 { return int64(r.Capped.Taken) }},
+	{"of them beyond the quota", func(r *result) int64 { return int64(r.Capped.BeyondQuota) }},
+	{"of them beyond the ceiling", func(r *result) int64 { return int64(r.Capped.BeyondCeiling) }},
 	{"connections to backends", func(r *result) int64 { return r.Backends.Connections }},
 	{"lists refused", func(r *result) int64 { return int64(r.ListsRefused) }},
 	{"changes lost after SIGHUP", func(r *result) int64 {
--- a/scale/result.go
+++ b/scale/result.go
@@ -41,6 +41,7 @@
 
 	Answers            answers        `json:"answers"`
 	Backends           backendFigures `json:"backends"`
+	Capped             ledgerFigures  `json:"capped"`
 	ListsRefused       int            `json:"lists_refused"`
 	GatewaysEnded      int            `json:"gateways_ended"` // that were not told to
 	HollowRequests     int64          `json:"hollow_requests"`
@@ -89,6 +90,14 @@
 	DrainLastMS        float64 `json:"drain_last_ms"` // how long after a drain the last command came
 }
 
+// ledgerFigures is what reached backends for the customers that ask for more than their plan allows.
+type ledgerFigures struct {
+	Taken         int     `json:"taken"`          // requests, at all gateways
+	BeyondQuota   int     `json:"beyond_quota"`   // which costs, and breaks no rule
+	BeyondCeiling int     `json:"beyond_ceiling"` // which breaks one
+	LeastCeiling  float64 `json:"least_ceiling"`  // the least that a ceiling's store held, in units
+}
+
 // spread is the least, the median and the most of some figures.
 type spread struct {
 	Least  float64 `json:"least"`
--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -55,7 +55,7 @@
 	if err := printReport(&report, results); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"| load CPU % |", "| sent to drained after the grace, sum | 0 | 0 |", "Not checked: cold"} {
+	for _, want := range []string{"| load CPU % |", "| sent to drained after the grace, sum | 0 | 0 |", "beyond the ceiling, sum | 0 | 0 |", "Not checked: cold"} {
 		if !strings.Contains(report.String(), want) {
 			t.Errorf("no %q in the report:\n%s", want, report.String())
 		}
@@ -77,6 +77,9 @@
 	if b.Commands < int64(a.Served) || b.Strange > 0 || b.DrainingAfterGrace > 0 {
 		t.Errorf("size %g: backends %+v for %d served", r.Size, b, a.Served)
 	}
+	if r.Capped.Taken == 0 || r.Capped.BeyondCeiling > 0 {
+		t.Errorf("size %g: capped customers %+v", r.Size, r.Capped)
+	}
 	if r.MembersChanged < 4 || len(r.ChangeMS) != 2 {
 		t.Errorf("size %g: %d members changed, %d changes timed", r.Size, r.MembersChanged, len(r.ChangeMS))
 	}
@@ -178,7 +181,7 @@
 // TestDrainsAreSeen has a client of the stand-in itself send to a drained member: a check that never finds
 // a break proves nothing.
 func TestDrainsAreSeen(t *testing.T) {
-	b, err := newBackends(time.Millisecond)
+	b, err := newBackends(time.Millisecond, []int{1}, newLedger())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -194,7 +197,7 @@
 	k := &clientConn{conn, resp.NewReader(conn)}
 	send := func(in, after int64) {
 		t.Helper()
-		if _, err := k.ask(requestCommand(7, 1, 0, 1), time.Now()); err != nil {
+		if _, err := k.ask(requestCommand(caller{customer: 7, spread: 1}, 1), time.Now()); err != nil {
 			t.Fatal(err)
 		}
 		if b.draining.Load() != in || b.drainBroken.Load() != after {
@@ -246,7 +249,7 @@
 				_, _ = in.ReadCommand()
 			}()
 			k := newClients(l.Addr().String(), demand{})
-			k.request(1, requestCommand(7, 1, 0, 1))
+			k.request(1, requestCommand(caller{customer: 7, spread: 1}, 1))
 			k.hangUp()
 			if n := c.count(k.counts); n != 1 || k.counts.Sent != 1 {
 				t.Errorf("answers %+v", k.counts)
@@ -255,6 +258,27 @@
 	}
 }
 
+// TestCeilingsAreSeen has a customer's requests pass its ceiling at two gateways that know nothing of each other.
+func TestCeilingsAreSeen(t *testing.T) {
+	l, now := newLedger(), time.Now()
+	for i, want := range []ledgerFigures{
+		{Taken: 1, BeyondQuota: 0, BeyondCeiling: 0, LeastCeiling: 0},
+		{Taken: 2, BeyondQuota: 1, BeyondCeiling: 0, LeastCeiling: -1},
+		{Taken: 3, BeyondQuota: 2, BeyondCeiling: 1, LeastCeiling: -2},
+	} {
+		l.arrive(7, string(rune('a'+i)), now)
+		l.arrive(7, string(rune('a'+i)), now) // a further attempt takes nothing
+		if got := l.figures(); got != want {
+			t.Errorf("after %d: %+v, want %+v", i+1, got, want)
+		}
+	}
+	l.arrive(8, "", now)
+	l.arrive(8, "", now.Add(time.Minute))
+	if got := l.figures(); got.Taken != 5 || got.BeyondQuota != 2 || got.BeyondCeiling != 1 {
+		t.Errorf("a customer that asks for little: %+v", got)
+	}
+}
+
 func TestCatalogTellsChanges(t *testing.T) {
 	c := newCatalog(3, 6379)
 	if list := string(c.list()); strings.Count(list, `"phase":"Ready"`) != 3 || !strings.Contains(list, `"revision":1,"complete":true`) {
--- a/scale/settings.go
+++ b/scale/settings.go
@@ -17,6 +17,12 @@
 			"group": "all", "window-us": 5_000_000, "worth": worth,
 		}
 	}
+	tariff := func(p plan) map[string]any {
+		return map[string]any{
+			"name": p.name, "rate": p.rate, "burst": p.burst, "max-out": 0, "value-factor": 1, "beyond-earns": 0,
+			"beyond-costs": 1, "never-over-rate": p.ceilingRate, "ceiling-burst": p.ceilingBurst, "hard-slack": p.ceilingSlack,
+		}
+	}
 	body, err := json.Marshal(map[string]any{
 		"self-index": self, "balancers": e.Tier, "az": self % zones, "granularity-us": 2000, "localities": names,
 		"ceilings": map[string]any{
@@ -34,9 +40,7 @@
 		"membership-mode": "pushed", "weights": "nominal",
 		"report":          map[string]any{"names": []string{}, "via": "silent"},
 		"request-classes": []any{class("lookup", "retryable", 3), class("order", "dedup", 5)},
-		"tariffs": []any{map[string]any{
-			"name": "team", "rate": 60, "burst": 97, "max-out": 0, "value-factor": 1, "beyond-earns": 0, "beyond-costs": 1,
-		}},
+		"tariffs":         []any{tariff(teamPlan), tariff(cappedPlan)},
 	})
 	if err != nil {
 		panic(fmt.Sprintf("settings: %v", err)) // plain values: none can fail
