Measure what the stand-ins add without a gateway, and how busy the machine is

Added latency is the client's time less the backend's, so scheduling of both counts as the gateway's. While the gateways settle, clients now call a backend themselves, and each phase tells what part of all cores was in use by anybody: figures from a busy machine show as such.

--- a/scale/backends.go
+++ b/scale/backends.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// forget begins all counts anew.
+func (b *backends) forget() {
+	for _, n := range []*atomic.Int64{&b.commands, &b.connections, &b.strange, &b.draining, &b.drainBroken, &b.drainLast} {
+		n.Store(0)
+	}
+}
+
 // drained checks the rule on drains, strictly: a change counts as told once the agents hold it.
 func (b *backends) drained(member int, now time.Time) {
 	age := b.catalog.drainedFor(member, now)
--- a/scale/clients.go
+++ b/scale/clients.go
@@ -92,6 +92,7 @@
 type clients struct {
 	address string
 	demand  demand
+	bare    bool // calls a backend itself
 
 	mu     sync.Mutex
 	idle   []*clientConn
@@ -182,6 +183,9 @@
 func (c *clients) ended(id uint64, reply resp.Reply, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if reply.Kind == '*' && c.bare && len(reply.Items) > 0 {
+		reply = reply.Items[0]
+	}
 	switch {
 	case reply.Kind == '-' && bytes.HasPrefix(reply.Text, []byte("BUSY")):
 		c.counts.Refused++
--- a/scale/play.go
+++ b/scale/play.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"runtime"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -44,6 +45,7 @@
 const (
 	pointMost  = 4 * time.Minute // for one size, whatever happens
 	stepMost   = 8 * time.Second // for a change to reach the last gateway; it has to within 5 s
+	bareRate   = 200.0           // requests a second without a gateway
 	settleFor  = time.Second     // after the start, before anything is measured
 	watchEvery = 250 * time.Millisecond
 )
@@ -225,9 +227,19 @@
 		}
 	}
 	r.ReadyMS = milliseconds(time.Since(begun))
-	if !pause(ctx, settleFor) {
+	// While the gateways settle: what the measuring itself adds.
+	d := s.clients[0].demand
+	bare := newClients(fmt.Sprintf("%s:%d", memberAddress(0), s.backends.port()), demand{
+		self: d.self, tier: d.tier, spreads: d.spreads, rand: rand.New(rand.NewPCG(s.rand.Uint64(), 0)),
+	})
+	bare.bare = true
+	bare.load(ctx, bareRate, settleFor)
+	if ctx.Err() != nil {
 		return context.Cause(ctx)
 	}
+	r.Bare = addedBy([]*clients{bare})
+	s.backends.forget()
+	s.ledger.forget()
 	for _, g := range s.reals {
 		_, peak, err := memory(g.command.Process.Pid)
 		if err != nil {
@@ -296,9 +308,17 @@
 	if s.hollow != nil {
 		s.hollow.late()
 	}
+	busy, err := busyTime()
+	if err != nil {
+		return nil, err
+	}
 	begun := time.Now()
 	do(ctx)
 	took := time.Since(begun).Seconds()
+	busyAfter, err := busyTime()
+	if err != nil {
+		return nil, err
+	}
 	if ctx.Err() != nil {
 		return nil, context.Cause(ctx)
 	}
@@ -321,7 +341,8 @@
 		outMessages = append(outMessages, float64(out.messages.Load()-b.outMessages)/took)
 	}
 	f := &phaseFigures{
-		Seconds: took, CPUPercent: spreadOf(cpu), HeldMB: spreadOf(held), PeakMB: spreadOf(peaks),
+		MachinePercent: 100 * (busyAfter - busy).Seconds() / took / float64(runtime.NumCPU()),
+		Seconds:        took, CPUPercent: spreadOf(cpu), HeldMB: spreadOf(held), PeakMB: spreadOf(peaks),
 		InKBs: spreadOf(inBytes), InMessages: spreadOf(inMessages), OutKBs: spreadOf(outBytes), OutMessages: spreadOf(outMessages),
 	}
 	if s.hollow != nil {
@@ -481,20 +502,10 @@
 
 // rules takes in what the stand-ins have counted.
 func (s *stage) rules(r *result) {
-	all := hdrhistogram.New(1, latencyMost, latencyDigit)
-	var p50s, p99s []float64
 	for _, c := range s.clients {
 		r.Answers.add(c.counts)
-		all.Merge(c.added)
-		p50s = append(p50s, float64(c.added.ValueAtQuantile(50))/1000)
-		p99s = append(p99s, float64(c.added.ValueAtQuantile(99))/1000)
-	}
-	if r.Answers.Served > 0 {
-		r.Added = &addedFigures{
-			P50MS: float64(all.ValueAtQuantile(50)) / 1000, P99MS: float64(all.ValueAtQuantile(99)) / 1000,
-			P50ByGateway: spreadOf(p50s), P99ByGateway: spreadOf(p99s), Samples: int(all.TotalCount()),
-		}
 	}
+	r.Added = addedBy(s.clients)
 	b := s.backends
 	r.Backends = backendFigures{
 		Commands: b.commands.Load(), Connections: b.connections.Load(), Strange: b.strange.Load(),
@@ -518,6 +529,24 @@
 	}
 }
 
+// addedBy gives the time that clients waited beyond the backends' own; nil: nothing was served.
+func addedBy(cs []*clients) *addedFigures {
+	all := hdrhistogram.New(1, latencyMost, latencyDigit)
+	var p50s, p99s []float64
+	for _, c := range cs {
+		all.Merge(c.added)
+		p50s = append(p50s, float64(c.added.ValueAtQuantile(50))/1000)
+		p99s = append(p99s, float64(c.added.ValueAtQuantile(99))/1000)
+	}
+	if all.TotalCount() == 0 {
+		return nil
+	}
+	return &addedFigures{
+		P50MS: float64(all.ValueAtQuantile(50)) / 1000, P99MS: float64(all.ValueAtQuantile(99)) / 1000,
+		P50ByGateway: spreadOf(p50s), P99ByGateway: spreadOf(p99s), Samples: int(all.TotalCount()),
+	}
+}
+
 // revision is the program's, as far as the build or the working tree tells.
 func revision() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
--- a/scale/real.go
+++ b/scale/real.go
@@ -284,6 +284,29 @@
 	return nil
 }
 
+// busyTime is the time that the machine's cores have worked, for whomever.
+func busyTime() (time.Duration, error) {
+	stat, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, fmt.Errorf("processor time: %w", err)
+	}
+	first, _, _ := strings.Cut(string(stat), "\n")
+	fields := strings.Fields(first)
+	ticks := int64(0)
+	for i, f := range fields[1:] {
+		const idle, waiting, guests = 3, 4, 8 // from the latter on what is counted already
+		if i == idle || i == waiting || i >= guests {
+			continue
+		}
+		n, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("processor time: %w", err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * (time.Second / 100), nil
+}
+
 // halfOfMemory is half of the machine's memory, in bytes.
 func halfOfMemory() (int64, error) {
 	info, err := os.ReadFile("/proc/meminfo")
--- a/scale/report.go
+++ b/scale/report.go
@@ -59,6 +59,19 @@
 		}
 		return r.Added.P99MS, true
 	}},
+	{"without a gateway p50 ms", func(r *result) (float64, bool) {
+		if r.Bare == nil {
+			return 0, false
+		}
+		return r.Bare.P50MS, true
+	}},
+	{"without a gateway p99 ms", func(r *result) (float64, bool) {
+		if r.Bare == nil {
+			return 0, false
+		}
+		return r.Bare.P99MS, true
+	}},
+	phaseColumn("machine busy under load %", loadOf, func(f *phaseFigures) float64 { return f.MachinePercent }),
 	{"change ms", func(r *result) (float64, bool) { return spreadOf(r.ChangeMS).Most, len(r.ChangeMS) > 0 }},
 	{"SIGHUP call ms", func(r *result) (float64, bool) {
 		if r.SIGHUP == nil {
--- a/scale/result.go
+++ b/scale/result.go
@@ -35,6 +35,7 @@
 	Control        *phaseFigures  `json:"control,omitempty"`
 	Load           *phaseFigures  `json:"load,omitempty"`
 	MembersChanged int            `json:"members_changed"`
+	Bare           *addedFigures  `json:"bare,omitempty"` // what the stand-ins add to each other without a gateway
 	Added          *addedFigures  `json:"added,omitempty"`
 	ChangeMS       []float64      `json:"change_ms,omitempty"` // of each change, until the last gateway acts on it
 	SIGHUP         *hangUpFigures `json:"sighup,omitempty"`
@@ -51,15 +52,16 @@
 
 // phaseFigures is what the real gateways used in a phase.
 type phaseFigures struct {
-	Seconds      float64 `json:"seconds"`
-	CPUPercent   spread  `json:"cpu_percent"`
-	HeldMB       spread  `json:"held_mb"` // at the end
-	PeakMB       spread  `json:"peak_mb"`
-	InKBs        spread  `json:"in_kb_per_s"` // of control
-	InMessages   spread  `json:"in_messages_per_s"`
-	OutKBs       spread  `json:"out_kb_per_s"`
-	OutMessages  spread  `json:"out_messages_per_s"`
-	HollowLateMS float64 `json:"hollow_late_ms,omitempty"`
+	Seconds        float64 `json:"seconds"`
+	CPUPercent     spread  `json:"cpu_percent"`
+	HeldMB         spread  `json:"held_mb"` // at the end
+	PeakMB         spread  `json:"peak_mb"`
+	InKBs          spread  `json:"in_kb_per_s"` // of control
+	InMessages     spread  `json:"in_messages_per_s"`
+	OutKBs         spread  `json:"out_kb_per_s"`
+	OutMessages    spread  `json:"out_messages_per_s"`
+	HollowLateMS   float64 `json:"hollow_late_ms,omitempty"`
+	MachinePercent float64 `json:"machine_percent"` // of all cores, used by all on the machine
 }
 
 // addedFigures is the time that gateways added to the backends'.
--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -86,6 +86,9 @@
 	if r.SIGHUP == nil || r.SIGHUP.CalledMS <= 0 || r.SIGHUP.ListedMS <= 0 || r.SIGHUP.ChangeLost || r.ListsRefused > 0 {
 		t.Errorf("size %g: SIGHUP %+v, lists refused %d", r.Size, r.SIGHUP, r.ListsRefused)
 	}
+	if r.Bare == nil || r.Added == nil || r.Added.Samples != a.Served {
+		t.Errorf("size %g: added %+v, without a gateway %+v, %d served", r.Size, r.Added, r.Bare, a.Served)
+	}
 	if r.GatewaysEnded > 0 {
 		t.Errorf("size %g: %d gateways ended", r.Size, r.GatewaysEnded)
 	}
