Let the tier of the gateways axis grow with it, and hear notes in time

Notes at hollow gateways waited behind timers; both are now counted in what ends a run as fallen behind, which is set to the time that an ask waits.

--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -28,14 +28,15 @@
 	requests  atomic.Int64 // at all hollow gateways
 	answered  atomic.Int64 // served, refused or failed
 	dropped   atomic.Int64 // notes that found the worker's line full
-	lateWorst atomic.Int64 // by how much a timer came late, in microseconds
+	lateWorst atomic.Int64 // by how much a timer or a note came late, in microseconds
 }
 
 const (
-	hollowWorkers = 4
+	hollowWorkers = 6
 	workerLine    = 1 << 14
-	// hollowLate is by how much hollow gateways may fall behind: beyond it they no longer stand for real ones.
-	hollowLate = 250 * time.Millisecond
+	// hollowLate is by how much hollow gateways may fall behind: so long a real one waits for their answers
+	// to its asks, and beyond it they no longer stand for real ones.
+	hollowLate = 100 * time.Millisecond
 )
 
 // hollow is one gateway.
@@ -110,7 +111,7 @@
 		w := t.workers[i%len(t.workers)]
 		h := &hollow{
 			w: w, number: n, conn: conn, open: map[uint64]*hollowRequest{},
-			demand: demand{self: n, tier: e.Tier, spreads: e.Spreads, rand: w.rand},
+			demand: demand{self: n, tier: len(p.peers), spreads: e.Spreads, rand: w.rand},
 		}
 		w.hollows = append(w.hollows, h)
 		p.peers[n] = localOf(conn)
@@ -175,6 +176,16 @@
 	return time.Duration(t.lateWorst.Swap(0)) * time.Microsecond
 }
 
+// wasLate takes in by how much something was done late.
+func (t *hollowTier) wasLate(late decide.Time) {
+	for {
+		worst := t.lateWorst.Load()
+		if late <= worst || t.lateWorst.CompareAndSwap(worst, late) {
+			return
+		}
+	}
+}
+
 // begin gives each gateway the list.
 func (w *worker) begin(members []decide.Member) {
 	for _, h := range w.hollows {
@@ -205,15 +216,9 @@
 	for {
 		for len(w.dues) > 0 && w.dues[0].at <= w.tier.now() {
 			d := heap.Pop(&w.dues).(due)
-			if late := w.tier.now() - d.at; late > w.tier.lateWorst.Load() {
-				w.tier.lateWorst.Store(late)
-			}
+			w.tier.wasLate(w.tier.now() - d.at)
 			d.do()
-			select {
-			case do := <-w.line: // so that neither keeps the other waiting for long
-				do()
-			default:
-			}
+			w.hear() // so that neither keeps the other waiting for long
 			if ctx.Err() != nil {
 				return
 			}
@@ -231,6 +236,20 @@
 	}
 }
 
+const hearMost = 64 // of what has come, between two things that are due
+
+// hear does what has come, up to a bound.
+func (w *worker) hear() {
+	for range hearMost {
+		select {
+		case do := <-w.line:
+			do()
+		default:
+			return
+		}
+	}
+}
+
 // request has a client's request come.
 func (h *hollow) request(now decide.Time) {
 	from := h.demand.draw()
@@ -260,9 +279,12 @@
 			continue
 		}
 		h.w.tier.post.countOut(at, n)
-		note := append([]byte(nil), buf[:n]...)
+		note, come := append([]byte(nil), buf[:n]...), h.w.tier.now()
 		select {
-		case h.w.line <- func() { h.module.Peer(h.w.tier.now(), from, note) }:
+		case h.w.line <- func() {
+			h.w.tier.wasLate(h.w.tier.now() - come)
+			h.module.Peer(h.w.tier.now(), from, note)
+		}:
 		case <-ctx.Done():
 			return
 		default:
--- a/scale/report.go
+++ b/scale/report.go
@@ -39,6 +39,13 @@
 	phaseColumn("idle CPU %", idleOf, cpuOf),
 	phaseColumn("control CPU %", controlOf, cpuOf),
 	phaseColumn("load CPU %", loadOf, cpuOf),
+	{"CPU us a request", func(r *result) (float64, bool) {
+		if r.Load == nil || r.Control == nil || r.Answers.Sent == 0 {
+			return 0, false
+		}
+		percent := r.Load.CPUPercent.Median - r.Control.CPUPercent.Median
+		return percent / 100 * r.Load.Seconds * 1e6 * float64(r.Real) / float64(r.Answers.Sent), percent > 0
+	}},
 	{"start peak MB", func(r *result) (float64, bool) { return spreadOf(r.StartPeakMB).Most, len(r.StartPeakMB) > 0 }},
 	phaseColumn("control peak MB", controlOf, peakOf),
 	phaseColumn("load peak MB", loadOf, peakOf),
@@ -166,8 +173,8 @@
 func reportExperiment(b *strings.Builder, results []*result) {
 	sizes, bySize := grouped(results)
 	first := results[0]
-	fmt.Fprintf(b, "## %s\n\nAxis: %s. %d real gateways of %d in the settings, known: %s, service %g ms. ",
-		first.Experiment, first.Axis, first.Real, first.Tier, first.Known, first.ServiceMS)
+	fmt.Fprintf(b, "## %s\n\nAxis: %s. %d real gateways, %s in the settings, known: %s, service %g ms. ",
+		first.Experiment, first.Axis, first.Real, tiersOf(results), first.Known, first.ServiceMS)
 	fmt.Fprintf(b, "Program %s. Least / median / most of the repeats, one figure where they are the same or there is one. "+
 		"What is worked out goes on from the two largest sizes that ran.\n\n", strings.Join(revisions(results), ", "))
 	fmt.Fprintf(b, "| figure |")
@@ -211,6 +218,18 @@
 	return sizes, bySize
 }
 
+// tiersOf tells how many gateways the settings name.
+func tiersOf(results []*result) string {
+	least, most := results[0].Tier, results[0].Tier
+	for _, r := range results {
+		least, most = min(least, r.Tier), max(most, r.Tier)
+	}
+	if least == most {
+		return fmt.Sprint(most)
+	}
+	return fmt.Sprintf("%d to %d", least, most)
+}
+
 func revisions(results []*result) []string {
 	var all []string
 	for _, r := range results {
--- a/scale/settings.go
+++ b/scale/settings.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// settingsOf gives the settings of one gateway of the tier, in the names of a real site's.
-func settingsOf(e *experiment, self int) json.RawMessage {
+// settingsOf gives the settings of one gateway of a tier, in the names of a real site's.
+func settingsOf(tier, self int) json.RawMessage {
 	names := make([]string, zones)
 	for i := range names {
 		names[i] = zoneName(i)
@@ -24,7 +24,7 @@
 		}
 	}
 	body, err := json.Marshal(map[string]any{
-		"self-index": self, "balancers": e.Tier, "az": self % zones, "granularity-us": 2000, "localities": names,
+		"self-index": self, "balancers": tier, "az": self % zones, "granularity-us": 2000, "localities": names,
 		"ceilings": map[string]any{
 			"peers": true, "probes": false, "second-copies": true, "retry-after": true, "max-attempts": 5,
 			"max-retry-after-us": 500_000, "max-open": 20_000, "dial-timeout-us": 250_000, "idle-close-us": 15_000_000,
