--- a/scale/main.go
+++ b/scale/main.go
@@ -20,6 +20,7 @@
 type runCommand struct {
 	Experiment string `arg:"" type:"existingfile" help:"Experiment file (TOML)."`
 	Out        string `required:"" help:"File that the results are appended to, a JSON object a line."`
+	Repeat     int    `help:"Play this repeat alone, so that others get the machine in between; 0: all."`
 	Gateway    string `default:"bin/mothcleat" help:"The gateway's program."`
 }
 
@@ -30,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Repeat < 0 || c.Repeat > e.Repeats {
+		return fmt.Errorf("repeat: %d, 0 to %d wanted", c.Repeat, e.Repeats)
+	}
 	if _, err := os.Stat(c.Gateway); err != nil {
 		return fmt.Errorf("the gateway's program: %w", err)
 	}
@@ -40,9 +44,12 @@
 	defer out.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	for repeat := range e.Repeats {
+	for repeat := 1; repeat <= e.Repeats; repeat++ {
+		if c.Repeat > 0 && repeat != c.Repeat {
+			continue
+		}
 		for i := range e.Sizes {
-			r := playPoint(ctx, log, c.Gateway, e, i, repeat+1)
+			r := playPoint(ctx, log, c.Gateway, e, i, repeat)
 			if err := appendResult(out, r); err != nil {
 				return err
 			}
