Judge no times in the small experiment

Hollow gateways that are 100 ms behind end a run, as a real one then no longer hears them; on a machine that is overbooked the test would fail for that alone.

--- a/scale/hollow.go
+++ b/scale/hollow.go
@@ -34,9 +34,6 @@
 const (
 	hollowWorkers = 6
 	workerLine    = 1 << 14
-	// hollowLate is by how much hollow gateways may fall behind: so long a real one waits for their answers
-	// to its asks, and beyond it they no longer stand for real ones.
-	hollowLate = 100 * time.Millisecond
 )
 
 // hollow is one gateway.
