Give capped customers stores that even parts of still hold a request

In trials with silent gateways in the sets none of their requests was sent on: each gateway's even part of the ceiling held less than one request, so the check of ceilings checked nothing.

--- a/scale/ledger.go
+++ b/scale/ledger.go
@@ -12,14 +12,15 @@
 	ceilingRate, ceilingBurst, ceilingSlack float64
 }
 
-// The plans: most customers ask for far less than theirs allows; those of the capped one for far more.
+// The plans: most customers ask for far less than theirs allows; those of the capped one for more. Its
+// stores are so large that an even part of them, with silent gateways in the set, still holds a request.
 var (
 	teamPlan   = plan{name: "team", rate: 60, burst: 97}
-	cappedPlan = plan{name: "capped", rate: 0.2, burst: 1, ceilingRate: 0.3, ceilingBurst: 1, ceilingSlack: 1}
+	cappedPlan = plan{name: "capped", rate: 0.6, burst: 4, ceilingRate: 0.8, ceilingBurst: 4, ceilingSlack: 1}
 )
 
 // cappedShare is the part of the requests that customers of the capped plan send.
-const cappedShare = 0.15
+const cappedShare = 0.2
 
 // ceilingSocket is the time by whose units the protocol widens a ceiling's slack on sockets.
 const ceilingSocket = 150 * time.Millisecond
--- a/scale/scale_test.go
+++ b/scale/scale_test.go
@@ -268,9 +268,9 @@
 func TestCeilingsAreSeen(t *testing.T) {
 	l, now := newLedger(), time.Now()
 	for i, want := range []ledgerFigures{
-		{Taken: 1, BeyondQuota: 0, BeyondCeiling: 0, LeastCeiling: 0},
-		{Taken: 2, BeyondQuota: 1, BeyondCeiling: 0, LeastCeiling: -1},
-		{Taken: 3, BeyondQuota: 2, BeyondCeiling: 1, LeastCeiling: -2},
+		{Taken: 1}, {Taken: 2}, {Taken: 3}, {Taken: 4},
+		{Taken: 5, BeyondQuota: 1, LeastCeiling: -1},
+		{Taken: 6, BeyondQuota: 2, BeyondCeiling: 1, LeastCeiling: -2},
 	} {
 		l.arrive(7, string(rune('a'+i)), now)
 		l.arrive(7, string(rune('a'+i)), now) // a further attempt takes nothing
@@ -280,7 +280,7 @@
 	}
 	l.arrive(8, "", now)
 	l.arrive(8, "", now.Add(time.Minute))
-	if got := l.figures(); got.Taken != 5 || got.BeyondQuota != 2 || got.BeyondCeiling != 1 {
+	if got := l.figures(); got.Taken != 8 || got.BeyondQuota != 2 || got.BeyondCeiling != 1 {
 		t.Errorf("a customer that asks for little: %+v", got)
 	}
 }
