Play a size to its end though hollow gateways are late, and say so

A stall of 117 ms while idle ended a trial at 6,500 gateways before anything else was measured. The result now says how late they were, is printed with a star and counts for no slope.

--- a/scale/experiment.go
+++ b/scale/experiment.go
@@ -39,7 +39,7 @@
 	Known          string        `toml:"known"` // "list": the configuration holds the list; "empty": it holds none
 	Spreads        []int         `toml:"spreads"`
 	HollowRequests float64       `toml:"hollow_requests"` // a second at each hollow gateway
-	HollowLate     time.Duration `toml:"hollow_late"`     // by so much hollow gateways may fall behind before the run is stopped
+	HollowLate     time.Duration `toml:"hollow_late"`     // by so much hollow gateways may be late, else the result stands for nothing
 	Service        time.Duration `toml:"service"`         // of a backend
 	MemoryMB       int           `toml:"memory_mb"`       // limit that the gateways are told
 	Idle           time.Duration `toml:"idle"`
--- a/scale/play.go
+++ b/scale/play.go
@@ -68,13 +68,25 @@
 	if err == nil {
 		err = s.play(ctx, r)
 	}
-	if err != nil {
+	worst := max(lateOf(r.Idle), lateOf(r.Control), lateOf(r.Load))
+	switch {
+	case err != nil:
 		r.Status = "stopped: " + err.Error()
+	case worst > milliseconds(e.HollowLate):
+		r.Status = fmt.Sprintf("behind: hollow gateways were late by up to %.0f ms, %v at most", worst, e.HollowLate)
 	}
 	log.Info("end", "status", r.Status)
 	return r
 }
 
+// lateOf is by how much hollow gateways were late in a phase, in milliseconds.
+func lateOf(f *phaseFigures) float64 {
+	if f == nil {
+		return 0
+	}
+	return f.HollowLateMS
+}
+
 // notChecked are rules of the tier that no result says anything of.
 var notChecked = []string{"cold backends within budget"}
 
@@ -256,7 +268,7 @@
 
 func (s *stage) phases(ctx context.Context, r *result) error {
 	var err error
-	if r.Idle, err = s.phase(ctx, s.e.Idle, func(ctx context.Context) { pause(ctx, s.e.Idle) }); err != nil {
+	if r.Idle, err = s.phase(ctx, func(ctx context.Context) { pause(ctx, s.e.Idle) }); err != nil {
 		return err
 	}
 	if s.hollow != nil {
@@ -272,7 +284,7 @@
 			all.Wait()
 		}
 	}
-	if r.Control, err = s.phase(ctx, s.e.Control, changing(s.e.Control, nil)); err != nil {
+	if r.Control, err = s.phase(ctx, changing(s.e.Control, nil)); err != nil {
 		return err
 	}
 	requests := func(ctx context.Context) {
@@ -282,7 +294,7 @@
 		}
 		all.Wait()
 	}
-	if r.Load, err = s.phase(ctx, s.e.Load, changing(s.e.Load, requests)); err != nil {
+	if r.Load, err = s.phase(ctx, changing(s.e.Load, requests)); err != nil {
 		return err
 	}
 	if err := s.steps(ctx, r); err != nil {
@@ -292,7 +304,7 @@
 }
 
 // phase measures what the gateways use while something is done.
-func (s *stage) phase(ctx context.Context, length time.Duration, do func(context.Context)) (*phaseFigures, error) {
+func (s *stage) phase(ctx context.Context, do func(context.Context)) (*phaseFigures, error) {
 	type start struct {
 		cpu                                     time.Duration
 		inBytes, inNotes, outBytes, outMessages int64
@@ -350,11 +362,7 @@
 		InKBs: spreadOf(inBytes), InMessages: spreadOf(inMessages), OutKBs: spreadOf(outBytes), OutMessages: spreadOf(outMessages),
 	}
 	if s.hollow != nil {
-		late := s.hollow.late()
-		f.HollowLateMS = milliseconds(late)
-		if late > s.e.HollowLate {
-			return f, fmt.Errorf("hollow gateways fell behind by %v in a phase of %v, %v at most", late.Round(time.Millisecond), length, s.e.HollowLate)
-		}
+		f.HollowLateMS = milliseconds(s.hollow.late())
 	}
 	return f, nil
 }
--- a/scale/report.go
+++ b/scale/report.go
@@ -258,8 +258,8 @@
 
 func ran(results []*result) bool { return countRan(results) > 0 }
 
-// row prints a figure at each size. What a size gave before it was stopped is printed with a star, and
-// counts for no slope.
+// row prints a figure at each size. What a size gave before it was stopped, or while hollow gateways were
+// late, is printed with a star, and counts for no slope.
 func (c column) row(b *strings.Builder, sizes []float64, bySize map[float64][]*result, target bool, targetSize float64) {
 	var xs, ys []float64
 	fmt.Fprintf(b, "| %s |", c.name)
--- a/scale/result.go
+++ b/scale/result.go
@@ -16,7 +16,7 @@
 	Target     float64 `json:"target,omitempty"`
 	Repeat     int     `json:"repeat"`
 	Repeats    int     `json:"repeats"`
-	Status     string  `json:"status"` // "run", or "stopped: " and why
+	Status     string  `json:"status"` // "run"; "stopped: " and why; "behind: " where hollow gateways could not keep up
 	Revision   string  `json:"revision"`
 	Begun      string  `json:"begun"`
 
