--- a/scale/play.go
+++ b/scale/play.go
@@ -210,10 +210,11 @@
 			return
 		}
 		for _, g := range s.reals {
-			if g.command == nil || g.command.Process == nil {
+			pid := int(g.pid.Load())
+			if pid == 0 {
 				continue
 			}
-			if now, _, err := memory(g.command.Process.Pid); err == nil { // one that has ended holds nothing
+			if now, _, err := memory(pid); err == nil { // one that has ended holds nothing
 				held += now
 			}
 		}
@@ -257,7 +258,7 @@
 	s.backends.forget()
 	s.ledger.forget()
 	for _, g := range s.reals {
-		_, peak, err := memory(g.command.Process.Pid)
+		_, peak, err := memory(int(g.pid.Load()))
 		if err != nil {
 			return err
 		}
@@ -311,9 +312,9 @@
 	}
 	before := make([]start, len(s.reals))
 	for i, g := range s.reals {
-		cpu, err := processTime(g.command.Process.Pid)
+		cpu, err := processTime(int(g.pid.Load()))
 		if err == nil {
-			err = forgetPeak(g.command.Process.Pid)
+			err = forgetPeak(int(g.pid.Load()))
 		}
 		if err != nil {
 			return nil, err
@@ -340,11 +341,11 @@
 	}
 	var cpu, held, peaks, inBytes, inMessages, outBytes, outMessages []float64
 	for i, g := range s.reals {
-		used, err := processTime(g.command.Process.Pid)
+		used, err := processTime(int(g.pid.Load()))
 		if err != nil {
 			return nil, err
 		}
-		now, peak, err := memory(g.command.Process.Pid)
+		now, peak, err := memory(int(g.pid.Load()))
 		if err != nil {
 			return nil, err
 		}
--- a/scale/real.go
+++ b/scale/real.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,7 @@
 	control *control
 	agents  [2]*agent // the one in use, and the one after SIGHUP
 	command *exec.Cmd
+	pid     atomic.Int64 // 0: not started
 	logFile *os.File
 	ended   chan struct{}
 	http    *http.Client
@@ -136,6 +138,7 @@
 	if err := g.command.Start(); err != nil {
 		return fmt.Errorf("gateway %d: %w", g.number, err)
 	}
+	g.pid.Store(int64(g.command.Process.Pid))
 	go func() {
 		defer close(g.ended)
 		_ = g.command.Wait() // how it ended shows in the log
@@ -194,7 +197,7 @@
 
 // stop ends the process, by SIGTERM and if need be by SIGKILL.
 func (g *realGateway) stop() {
-	if g.command != nil && g.command.Process != nil {
+	if g.pid.Load() != 0 {
 		_ = g.command.Process.Signal(syscall.SIGTERM) // it may have ended already
 		select {
 		case <-g.ended:
