--- a/scale/play.go
+++ b/scale/play.go
@@ -570,13 +570,17 @@
 	}
 }
 
-// revision is the program's, as far as the build or the working tree tells.
-func revision() string {
+// revision is the program's: as it was built or, where the build does not tell, as the working tree is when it
+// is first asked for.
+var revision = sync.OnceValue(func() string {
+	const length = 7
 	if info, ok := debug.ReadBuildInfo(); ok {
+		told := map[string]string{}
 		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				return s.Value
-			}
+			told[s.Key] = s.Value
+		}
+		if name := told["vcs.revision"]; len(name) >= length {
+			return name[:length] + map[string]string{"true": "-dirty"}[told["vcs.modified"]]
 		}
 	}
 	out, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
@@ -589,4 +593,4 @@
 		name += "-dirty"
 	}
 	return name
-}
+})
