--- a/scale/report.go
+++ b/scale/report.go
@@ -80,6 +80,7 @@
 		return r.Bare.P99MS, true
 	}},
 	phaseColumn("machine busy under load %", loadOf, func(f *phaseFigures) float64 { return f.MachinePercent }),
+	{"hollow late under load ms", func(r *result) (float64, bool) { return lateOf(r.Load), lateOf(r.Load) > 0 }},
 	{"change ms", func(r *result) (float64, bool) { return spreadOf(r.ChangeMS).Most, len(r.ChangeMS) > 0 }},
 	{"SIGHUP call ms", func(r *result) (float64, bool) {
 		if r.SIGHUP == nil {
@@ -191,7 +192,7 @@
 	}
 	fmt.Fprintf(b, "\n| repeats run |")
 	for _, size := range sizes {
-		fmt.Fprintf(b, " %d of %d |", countRan(bySize[size]), len(bySize[size]))
+		fmt.Fprintf(b, " %d of %d |", countRan(bySize[size]), bySize[size][0].Repeats)
 	}
 	if target {
 		b.WriteString(" none |")
