Bind the sinks of scale to the loopback interface before their addresses

The sink of notes took the unspecified address first and the interface after it: for a moment it heard all interfaces. Both stand-ins now share one way, with the interface first.

--- a/scale/backends.go
+++ b/scale/backends.go
@@ -36,16 +36,18 @@
 	socketSlack = 50 * time.Millisecond
 )
 
+// onLoopback makes sockets for all of 127.0.0.0/8. That needs the unspecified address; bound to the loopback
+// interface before all else they serve nothing else.
+var onLoopback = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if cerr := raw.Control(func(fd uintptr) { err = syscall.BindToDevice(int(fd), "lo") }); cerr != nil {
+		return cerr
+	}
+	return err
+}}
+
 func newBackends(service time.Duration, spreads []int, l *ledger) (*backends, error) {
-	// All of 127.0.0.0/8 needs the unspecified address; bound to the loopback interface it serves nothing else.
-	loopback := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		if cerr := raw.Control(func(fd uintptr) { err = syscall.BindToDevice(int(fd), "lo") }); cerr != nil {
-			return cerr
-		}
-		return err
-	}}
-	listener, err := loopback.Listen(context.Background(), "tcp4", "0.0.0.0:0")
+	listener, err := onLoopback.Listen(context.Background(), "tcp4", "0.0.0.0:0")
 	if err != nil {
 		return nil, fmt.Errorf("backends: %w", err)
 	}
--- a/scale/notes.go
+++ b/scale/notes.go
@@ -1,10 +1,10 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
-	"syscall"
 )
 
 const noteMost = 256 // bytes in a datagram between gateways
@@ -71,23 +71,11 @@
 
 // newSink takes what is sent to any loopback address of its port.
 func newSink() (*net.UDPConn, error) {
-	conn, err := listenUDP("0.0.0.0:0")
+	conn, err := onLoopback.ListenPacket(context.Background(), "udp4", "0.0.0.0:0")
 	if err != nil {
-		return nil, err
-	}
-	raw, err := conn.SyscallConn()
-	if err == nil {
-		var bound error
-		err = raw.Control(func(fd uintptr) { bound = syscall.BindToDevice(int(fd), "lo") })
-		if err == nil {
-			err = bound
-		}
-	}
-	if err != nil {
-		_ = conn.Close()
 		return nil, fmt.Errorf("notes: %w", err)
 	}
-	return conn, nil
+	return conn.(*net.UDPConn), nil
 }
 
 func (p *post) close() {
