--- /dev/null
+++ b/cmd/gateway/fleet_catalog_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// fleetCatalog is a discovery service that all gateways of a fleet watch. It is safe for concurrent use.
+type fleetCatalog struct {
+	mu       sync.Mutex // guards all below
+	revision int
+	entries  []string
+	changed  chan struct{} // closed by the next change
+}
+
+// update makes a list known.
+func (c *fleetCatalog) update(entries []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision++
+	c.entries = entries
+	if c.changed != nil {
+		close(c.changed)
+	}
+	c.changed = make(chan struct{})
+}
+
+// ServeHTTP answers with the complete list, a watch once there is a newer one than it knows.
+func (c *fleetCatalog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	index, err := strconv.Atoi(r.URL.Query().Get("index"))
+	for {
+		c.mu.Lock()
+		body, changed, newer := endpointList(c.revision, c.entries), c.changed, c.revision > index
+		c.mu.Unlock()
+		if err != nil || newer {
+			_, _ = w.Write(body) // the caller may have gone
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/gateway/fleet_clients_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sparspread/internal/resp"
+)
+
+// fleetGatewayDigits is how many digits of a request's ID name the gateway that it was sent to.
+const fleetGatewayDigits = 4
+
+// fleetAnswers counts how the clients' requests ended.
+type fleetAnswers struct{ served, rejected, failed, lost atomic.Int64 }
+
+// load has clients send requests, spread over the gateways, at a rate in capacities of all backends. It goes
+// on until the test ends.
+func (f *fleet) load(capacities float64) {
+	rate := capacities * fleetCapacity * float64(len(f.backends)) / float64(len(f.hosts))
+	for i := range f.hosts {
+		f.clients.Go(func() { f.runClients(i, rate) })
+	}
+	f.tb.Cleanup(f.stopLoad)
+}
+
+// stopLoad ends the clients. It does nothing the second time.
+func (f *fleet) stopLoad() {
+	select {
+	case <-f.stop:
+	default:
+		close(f.stop)
+	}
+	f.clients.Wait()
+}
+
+// runClients sends requests to a gateway at random moments, whether or not earlier ones have ended.
+func (f *fleet) runClients(gateway int, rate float64) {
+	pool := make(chan net.Conn, 1024)
+	var running sync.WaitGroup
+	for sequence := 0; ; sequence++ {
+		pause := time.Duration(rand.ExpFloat64() / rate * float64(time.Second))
+		select {
+		case <-f.stop:
+			running.Wait()
+			for len(pool) > 0 {
+				_ = (<-pool).Close()
+			}
+			return
+		case <-time.After(pause):
+		}
+		running.Go(func() { f.request(gateway, sequence, pool) })
+	}
+}
+
+// clientTimeout is how long the clients of a fleet wait for an answer.
+const clientTimeout = 2 * time.Second
+
+// request sends one request on a free connection, or a new one, and counts how it ended.
+func (f *fleet) request(gateway, sequence int, pool chan net.Conn) {
+	var conn net.Conn
+	select {
+	case conn = <-pool:
+	default:
+		var err error
+		if conn, err = net.DialTimeout("tcp", f.hosts[gateway]+clientPort, clientTimeout); err != nil {
+			f.answers.lost.Add(1)
+			return
+		}
+	}
+	line, err := roundTrip(conn, f.command(gateway, sequence))
+	if err != nil {
+		f.answers.lost.Add(1)
+		_ = conn.Close()
+		return
+	}
+	pool <- conn
+	switch line[0] {
+	case '$':
+		f.answers.served.Add(1)
+	case '-':
+		f.answers.countError(line)
+	}
+}
+
+// countError counts a request by the error line that answered it.
+func (a *fleetAnswers) countError(line string) {
+	if strings.HasPrefix(line, "-BUSY") {
+		a.rejected.Add(1)
+	} else {
+		a.failed.Add(1)
+	}
+}
+
+// command is a client's command. Its request ID names the gateway.
+func (f *fleet) command(gateway, sequence int) []byte {
+	name := "API.READ"
+	if f.settings.runOnce {
+		name = "API.WRITE"
+	}
+	id := fmt.Sprintf("%0*x%012x", fleetGatewayDigits, gateway, sequence)
+	timeout := clientTimeout.Milliseconds()
+	fields := fmt.Sprintf("c=lookup,t=team,d=%d,units=1,spread=1,first=%d", timeout, gateway)
+	command := resp.AppendArray(nil, minBackendArgs)
+	for _, arg := range []string{name, fmt.Sprintf("%016x", gateway), id, fields} {
+		command = resp.AppendBulk(command, []byte(arg))
+	}
+	return command
+}
+
+// roundTrip sends a command and returns the first line of its reply, once all of the reply has come.
+func roundTrip(conn net.Conn, command []byte) (string, error) {
+	_ = conn.SetDeadline(time.Now().Add(clientTimeout + time.Second))
+	if _, err := conn.Write(command); err != nil {
+		return "", err
+	}
+	in := bufio.NewReader(conn)
+	line, err := in.ReadString('\n')
+	if err == nil && line[0] == '$' {
+		_, err = in.ReadString('\n')
+	}
+	return line, err
+}
