Log when slow starts begin and end, retries by cause, and why backend connections close

Cause: from a log it could not be told which backends were in slow start, why, from which rate their part derived, which outcomes were retried, and why connections to backends were closed or not dialed.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -70,7 +70,7 @@
 		return
 	}
 	a.conn.attempt = nil
-	l.backends.close(a.conn)
+	l.backends.close(a.conn, closeTimedOut)
 	l.endAttempt(a, policy.ResultTimedOut)
 }
 
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -50,13 +50,13 @@
 
 // backends holds all backends and the connections to them. It belongs to the loop, but for dial.
 type backends struct {
-	byNumber         map[uint32]*backend
-	byID             map[string]*backend
-	idleTimeout      idleTimeoutEstimate
-	limit            int // connections and dials at a time
-	open             int // connections and dials
-	dialsSinceReport int // for clients.report
-	dial             net.Dialer
+	byNumber    map[uint32]*backend
+	byID        map[string]*backend
+	idleTimeout idleTimeoutEstimate
+	limit       int // connections and dials at a time
+	open        int // connections and dials
+	counts      backendCounts
+	dial        net.Dialer
 }
 
 func newBackends(cfg *config.Config, limit int) *backends {
--- a/internal/gateway/backend_dial.go
+++ b/internal/gateway/backend_dial.go
@@ -24,7 +24,7 @@
 		}
 		b.dialing++
 		bs.open++
-		bs.dialsSinceReport++
+		bs.counts.dials++
 		go bs.dialBackend(l, dialEnded{backend: b, address: b.address, startedAtMS: b.startedAtMS})
 	}
 }
@@ -53,6 +53,8 @@
 	b.dialing--
 	if e.err != nil {
 		bs.open--
+		bs.counts.dialsFailed++
+		bs.counts.lastError = e.err
 		bs.dialFailed(l, b, e.err)
 		return
 	}
@@ -61,7 +63,7 @@
 		valueClient: make(chan *client, 1),
 	}
 	if e.address != b.address || e.startedAtMS != b.startedAtMS {
-		bs.close(c) // the backend has moved or restarted since
+		bs.close(c, closeNotReady) // the backend has moved or restarted since
 		bs.dialForWaiting(l, b)
 		return
 	}
--- a/internal/gateway/backend_pool.go
+++ b/internal/gateway/backend_pool.go
@@ -55,7 +55,7 @@
 		switch c := b.idle[i]; {
 		case c.isQuiescing(now):
 		case c.idleSince < oldest:
-			bs.close(c)
+			bs.close(c, closeOutlived)
 		default:
 			b.idle = slices.Delete(b.idle, i, i+1)
 			return c
@@ -99,13 +99,17 @@
 // quiescence period if it has carried a reply.
 func (bs *backends) release(l *Loop, c *backendConn) {
 	b := c.backend
-	if b.state != policy.EndpointReady && len(b.waiting) == 0 || !c.writer.Idle() {
-		// It is not to be used again; or the reply came before the whole request was written, and the next
-		// request would be written into the rest of it.
-		bs.close(c)
+	if !c.writer.Idle() {
+		// The reply came before the whole request was written, and the next request would be written into the
+		// rest of it.
+		bs.close(c, closeIncomplete)
 		bs.dialForWaiting(l, b)
 		return
 	}
+	if b.state != policy.EndpointReady && len(b.waiting) == 0 {
+		bs.close(c, closeNotReady)
+		return
+	}
 	if !c.hasCarriedReply() {
 		bs.assignToWaiting(l, c)
 		return
@@ -159,7 +163,7 @@
 	if oldest == nil {
 		return false
 	}
-	bs.close(oldest)
+	bs.close(oldest, closeEvicted)
 	return true
 }
 
@@ -168,7 +172,7 @@
 	oldest := l.now() - l.config.Host.IdleClose/idleCloseDivisor
 	for _, b := range bs.byNumber {
 		for len(b.idle) > 0 && b.idle[0].idleSince <= oldest {
-			bs.close(b.idle[0])
+			bs.close(b.idle[0], closeOutlived)
 		}
 	}
 }
@@ -176,16 +180,17 @@
 // closeIdle closes a backend's idle connections.
 func (bs *backends) closeIdle(b *backend) {
 	for len(b.idle) > 0 {
-		bs.close(b.idle[0])
+		bs.close(b.idle[0], closeNotReady)
 	}
 }
 
 // close closes a connection that carries no attempt any more, which ends its reader.
-func (bs *backends) close(c *backendConn) {
+func (bs *backends) close(c *backendConn, reason closeReason) {
 	if c.closed {
 		return
 	}
 	c.closed = true
+	bs.counts.closed[reason]++
 	close(c.done)
 	bs.open--
 	_ = c.conn.Close() // nothing is left to do about a failed close
--- a/internal/gateway/backend_read.go
+++ b/internal/gateway/backend_read.go
@@ -83,7 +83,7 @@
 	reused := c.hasCarriedReply()
 	c.bytesUsed = e.bytesUsed
 	c.attempt = nil
-	l.backends.close(c)
+	l.backends.close(c, closeEnded)
 	if a == nil {
 		return
 	}
@@ -99,7 +99,7 @@
 func (bs *backends) reusedConnectionBroke(l *Loop, c *backendConn, a *attempt) {
 	b, idle := c.backend, a.sentAt-c.idleSince
 	for len(b.idle) > 0 && b.idle[0].idleSince <= c.idleSince && bs.idleTimeout.explains(l.now(), idle) {
-		bs.close(b.idle[0])
+		bs.close(b.idle[0], closeOutlived)
 	}
 	if l.now()-a.sentAt < staleReuseWindow {
 		bs.idleTimeout.recordBroken(l.now(), idle)
@@ -122,7 +122,7 @@
 	}
 	if !reply.wellFormed || e.malformed || e.more || bodyPending {
 		// What comes next on this connection may belong to no request. The others to the backend go on.
-		l.backends.close(c)
+		l.backends.close(c, closeMalformed)
 		l.backends.dialForWaiting(l, c.backend)
 	}
 	l.endAttemptWithAnswer(a, reply.result, backendAnswer{
--- /dev/null
+++ b/internal/gateway/backend_report.go
@@ -0,0 +1,54 @@
+package gateway
+
+import "log/slog"
+
+// closeReason is why a connection to a backend was closed.
+type closeReason int
+
+// The reasons.
+const (
+	closeEnded       closeReason = iota // it ended, or input came that no attempt waited for
+	closeTimedOut                       // its attempt timed out
+	closeCancelled                      // nobody waits for its attempt any more
+	closeIncomplete                     // the request or the reply on it was not complete
+	closeMalformed                      // its reply was malformed, or followed by more
+	closeStrayInput                     // something had arrived before an attempt was written
+	closeWriteFailed                    // an attempt could not be written to it
+	closeOutlived                       // it was idle for longer than it may be expected to last
+	closeEvicted                        // it made room for another connection
+	closeNotReady                       // its backend is not ready, or has moved or restarted
+	closeReasonCount
+)
+
+// String is the reason as the log has it.
+func (r closeReason) String() string {
+	return [closeReasonCount]string{
+		"ended", "timed_out", "cancelled", "incomplete", "malformed", "stray_input", "write_failed",
+		"outlived", "evicted", "not_ready",
+	}[r]
+}
+
+// backendCounts counts what happened to connections to backends since the last report in the log.
+type backendCounts struct {
+	dials       int
+	dialsFailed int
+	lastError   error // of the dials that failed; nil: none did
+	closed      [closeReasonCount]int
+}
+
+// report logs the counts, after those of the clients, and begins anew.
+func (bs *backends) report(log *slog.Logger) {
+	attributes := []any{
+		"dialed", bs.counts.dials, "dials_failed", bs.counts.dialsFailed, "open", bs.open, "limit", bs.limit,
+	}
+	for reason, count := range bs.counts.closed {
+		if count > 0 {
+			attributes = append(attributes, "closed_"+closeReason(reason).String(), count)
+		}
+	}
+	if bs.counts.lastError != nil {
+		attributes = append(attributes, "last_dial_error", bs.counts.lastError)
+	}
+	log.Info("backend connections", attributes...)
+	bs.counts = backendCounts{}
+}
--- a/internal/gateway/backend_write.go
+++ b/internal/gateway/backend_write.go
@@ -20,17 +20,17 @@
 	if c.backend.state != policy.EndpointReady {
 		// The backend began to drain while the attempt waited for its connection.
 		l.endAttempt(a, policy.ResultNotSent)
-		bs.close(c)
+		bs.close(c, closeNotReady)
 		return true
 	}
 	if !c.hasNoStrayInput() {
-		bs.close(c)
+		bs.close(c, closeStrayInput)
 		return false
 	}
 	command := l.attemptCommand(a)
 	n, err := c.writer.TryWrite(command)
 	if err != nil {
-		bs.close(c)
+		bs.close(c, closeWriteFailed)
 		return false
 	}
 	if n < len(command) {
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -102,8 +102,8 @@
 		"closed_silent", counts.closedBeforeInput, "closed_mid_command", counts.closedMidCommand,
 		"closed_idle", counts.closedIdle, "rejected_over_limit", counts.rejectedOverLimit,
 		"rejected_over_memory", counts.rejectedOverMemory, "longest_accept_us", counts.longestAccept,
-		"dialed_backends", l.backends.dialsSinceReport, "to_backends", l.backends.open)
-	l.backends.dialsSinceReport = 0
+		"dialed_backends", l.backends.counts.dials, "to_backends", l.backends.open)
+	l.backends.report(l.log)
 	*counts = clientCounts{since: now}
 }
 
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -180,7 +180,7 @@
 	if a := c.attempt; a != nil && a.request == r && a.bodyIncomplete() {
 		l.endAttempt(a, policy.ResultNotSent)
 		c.attempt = nil
-		l.backends.close(c)
+		l.backends.close(c, closeIncomplete)
 		l.backends.dialForWaiting(l, c.backend)
 	}
 }
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -89,7 +89,7 @@
 	}
 	if a == nil || a.request == nil || a.request.answered || a.request.valueConn != nil {
 		// Nobody waits for it any more.
-		l.backends.close(c)
+		l.backends.close(c, closeCancelled)
 		c.attempt = nil
 		if a != nil {
 			l.endAttempt(a, policy.ResultCancelled)
@@ -144,7 +144,7 @@
 		c.attempt = nil
 		l.endAttempt(a, policy.ResultCancelled)
 	}
-	l.backends.close(c)
+	l.backends.close(c, closeCancelled)
 }
 
 // finishStream ends the attempt of a large value that has gone to the client or, with an error, broke off.
@@ -162,7 +162,7 @@
 	}
 	l.releaseRequest(r)
 	if e.err != nil || e.malformed || e.more {
-		l.backends.close(c)
+		l.backends.close(c, closeIncomplete)
 		l.backends.dialForWaiting(l, c.backend)
 		return
 	}
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -43,7 +43,7 @@
 		return
 	}
 	rule := g.ruleFor(request, request.attempts, now)
-	if !request.answered && g.retry(request, attempt, rule, now) {
+	if !request.answered && g.retry(request, attempt, outcome.Result, rule, now) {
 		return
 	}
 	delete(g.requests, outcome.RequestID)
--- a/policy/balancing.go
+++ b/policy/balancing.go
@@ -25,8 +25,14 @@
 	var best *backend
 	bestScore, ties := math.Inf(1), 0
 	for _, backend := range g.backends {
-		if !backend.ready() || !g.slowStartAllows(backend) ||
-			within != nil && !g.settings.Classes[request.Class].sameDedupScope(within.backend, backend) ||
+		if !backend.ready() {
+			continue
+		}
+		if !g.slowStartAllows(backend) {
+			g.counters.slowStartDenied++
+			continue
+		}
+		if within != nil && !g.settings.Classes[request.Class].sameDedupScope(within.backend, backend) ||
 			!allowUnhealthy && (g.unhealthy(backend) || request.tried(backend)) {
 			continue
 		}
--- a/policy/controller.go
+++ b/policy/controller.go
@@ -148,6 +148,7 @@
 	g.scheduleTick()
 	if now-g.sweptAt >= sweepInterval {
 		g.sweptAt = g.now
+		g.logWarmedUp()
 		g.logCounters()
 		g.queueLoadView(loadViewPeers) // peers hear of it also while this gateway sends nothing
 		g.sweepCustomers()
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -23,7 +23,9 @@
 	ejectionTime Time // how long that ejection lasts
 	nextProbeAt  Time
 
-	slowStartBucket tokenBucket // attempts that it may still get in slow start
+	slowStartBucket   tokenBucket // attempts that it may still get in slow start
+	slowStartAttempts int         // that it has got since its slow start began
+	warmingUp         bool        // the log says that it is in slow start
 }
 
 // ready reports whether service discovery lists the backend as ready.
@@ -73,7 +75,8 @@
 func (g *Controller) updateEndpoint(endpoint Endpoint) {
 	backend := g.backendRecord(endpoint)
 	if endpoint.StartedAt > backend.StartedAt {
-		backend.latencyRatio, backend.errorRate, backend.slowStartBucket = 0, 0, g.newSlowStartBucket()
+		backend.latencyRatio, backend.errorRate = 0, 0
+		g.beginSlowStart(backend, endpoint.StartedAt, "its start was announced")
 	}
 	endpoint.StartedAt = max(endpoint.StartedAt, backend.StartedAt)
 	backend.Endpoint, backend.listed = endpoint, endpoint.State != EndpointRemoved
@@ -85,9 +88,10 @@
 		return known
 	}
 	added := &backend{
-		Endpoint: endpoint, slowStartBucket: g.newSlowStartBucket(),
-		faults: make([]decayingSum, len(g.settings.Classes)+len(g.settings.Plans)),
+		Endpoint: endpoint,
+		faults:   make([]decayingSum, len(g.settings.Classes)+len(g.settings.Plans)),
 	}
+	g.beginSlowStart(added, endpoint.StartedAt, "it is listed for the first time")
 	g.backendsByID[endpoint.ID] = added
 	g.backends = append(g.backends, added)
 	return added
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -49,8 +49,7 @@
 	}
 	backend.down, backend.latencyRatio, backend.unansweredSince = false, 0, g.activeTime
 	if !backend.unresponsive {
-		backend.StartedAt = max(backend.StartedAt, g.now)
-		backend.slowStartBucket = g.newSlowStartBucket()
+		g.beginSlowStart(backend, max(backend.StartedAt, g.now), "connections had failed")
 	}
 	g.actions.Log(fmt.Sprintf("backend %d reinstated", backend.ID))
 }
--- a/policy/report.go
+++ b/policy/report.go
@@ -29,6 +29,10 @@
 	quotaRequests int
 	unanswered    int // quota requests that timed out
 	results       [ResultNotSent + 1]int
+	retriesAfter  [ResultNotSent + 1]int // by the result of the attempt before
+
+	slowStartAttempts int // to backends in slow start
+	slowStartDenied   int // how often a backend was passed over as its slow start allowed no attempt
 }
 
 func (n *activityCounters) countSend(backend *backend) {
@@ -65,7 +69,7 @@
 		"quota requests %d, unanswered %d; "+
 		"results: ok %d, failed %d, overloaded %d, timed out %d, connect failed %d, reset %d, not sent %d; "+
 		"in flight %.1f, on time %.1f/s, of %.1f gateways; "+
-		"late share %.2f, mean latency %.0f ms, healthy %d of %d",
+		"late share %.2f, mean latency %.0f ms, healthy %d of %d; %s",
 		counters.sent, counters.consecutive,
 		rejected[rejectExpired], rejected[rejectAtCapacity], rejected[rejectOverQuota],
 		rejected[rejectOverCeiling], rejected[rejectNoBackend], rejected[rejectNeverRan],
@@ -74,6 +78,26 @@
 		results[ResultConnectFailed], results[ResultReset], results[ResultNotSent],
 		view.inFlight, view.onTimeRate, view.gateways,
 		g.load.lateShare.value, g.latency.all.value/microsecondsPerMillisecond,
-		g.healthy, len(g.backends)))
+		g.healthy, len(g.backends), g.describeSlowStart()))
 	*counters = activityCounters{since: g.now}
 }
+
+// describeSlowStart says what backends in slow start got and from which rate that derives, and why requests
+// were retried.
+func (g *Controller) describeSlowStart() string {
+	counters, retries := &g.counters, &g.counters.retriesAfter
+	warmingUp := 0
+	for _, backend := range g.backends {
+		if backend.ready() && g.slowStartShare(backend) < 1 {
+			warmingUp++
+		}
+	}
+	return fmt.Sprintf("slow start: backends %d, attempts %d, denied %d, "+
+		"rate of a warm backend %.2f/s, warm %d; "+
+		"retries after: ok %d, failed %d, overloaded %d, timed out %d, connect failed %d, reset %d, "+
+		"not sent %d",
+		warmingUp, counters.slowStartAttempts, counters.slowStartDenied,
+		g.sendRate.value(g.now, sendRateDecay)*float64(second)/float64(sendRateDecay), g.warm,
+		retries[ResultOK], retries[ResultFailed], retries[ResultOverloaded], retries[ResultTimedOut],
+		retries[ResultConnectFailed], retries[ResultReset], retries[ResultNotSent])
+}
--- a/policy/request.go
+++ b/policy/request.go
@@ -73,6 +73,8 @@
 	request.customer.inFlight++
 	if g.slowStartShare(backend) < 1 {
 		backend.slowStartBucket.level--
+		backend.slowStartAttempts++
+		g.counters.slowStartAttempts++
 	} else if g.warm > 0 {
 		g.sendRate.add(g.now, sendRateDecay, 1/float64(g.warm))
 	}
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -57,7 +57,9 @@
 
 // retry sends another attempt if the rule, the number of attempts, the budget and the time that is
 // left allow it and there is a backend. It reports whether it did.
-func (g *Controller) retry(request *request, last *attempt, rule retryRule, now Time) bool {
+func (g *Controller) retry(
+	request *request, last *attempt, lastResult Result, rule retryRule, now Time,
+) bool {
 	cost := retryBudget(notRunRetryCost)
 	if last.mayHaveRun {
 		cost = ranRetryCost
@@ -72,6 +74,7 @@
 		return false
 	}
 	g.retryBudget -= cost
+	g.counters.retriesAfter[lastResult]++
 	g.send(request, backend)
 	return true
 }
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,6 +1,9 @@
 package policy
 
-import "math"
+import (
+	"fmt"
+	"math"
+)
 
 const (
 	sendRateDecay  = 4 * second // the time constant of the rate of attempts to warm backends
@@ -16,6 +19,29 @@
 	return math.Min(1, g.settings.SlowStartFloor+(1-g.settings.SlowStartFloor)*age)
 }
 
+// beginSlowStart notes that a backend has started, or may have.
+func (g *Controller) beginSlowStart(backend *backend, startedAt Time, why string) {
+	backend.StartedAt, backend.slowStartBucket = startedAt, g.newSlowStartBucket()
+	backend.slowStartAttempts = 0
+	if share := g.slowStartShare(backend); share < 1 {
+		backend.warmingUp = true
+		age := float64(g.now-startedAt) / float64(second)
+		g.actions.Log(fmt.Sprintf("backend %d in slow start: %s, age %.3f s, share %.2f",
+			backend.ID, why, age, share))
+	}
+}
+
+// logWarmedUp logs which backends have ended their slow start.
+func (g *Controller) logWarmedUp() {
+	for _, backend := range g.backends {
+		if backend.warmingUp && g.slowStartShare(backend) == 1 {
+			backend.warmingUp = false
+			g.actions.Log(fmt.Sprintf("backend %d is warm after %d attempts",
+				backend.ID, backend.slowStartAttempts))
+		}
+	}
+}
+
 // slowStartAllows reports whether a backend may get one more attempt. One in slow start gets its
 // share of what this gateway sends a warm one, saved up for at most half of the overload window, so
 // that all gateways together load it no more than the warm ones.
