Pace slow starts by what warm backends answer, not by attempts sent to them

Cause: a starting backend gets its share of the rate of attempts sent to warm ones, divided by their number. Attempts that fail at once are retried and counted again, and each ejection lowers the number: the rate had no bound. No backend answers more than its capacity, so the rate of successful answers of warm backends is one. Seen before: 10 to 13 a second at each of 24 gateways for a warm backend that serves 100 (reproduction, log). Excluded by the same runs: stalled, killed and upgraded gateways (0.5 of the budget at most).

--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -78,12 +78,12 @@
 		g.detectUnresponsive(backend)
 		if backend.ready() && !g.unhealthy(backend) {
 			g.healthy++
-			if backend.inSubset && g.slowStartShare(backend) == 1 {
-				g.warm++
-			}
+		}
+		if g.isWarm(backend) {
+			g.warm++
 		}
 	}
 	if g.warm == 0 {
-		g.sendRate.updatedAt = g.now // keeps the last rate: no warm backend is left to measure it
+		g.answerRate.updatedAt = g.now // keeps the last rate: no warm backend is left to measure it
 	}
 }
--- a/policy/controller.go
+++ b/policy/controller.go
@@ -35,7 +35,7 @@
 	discovery    discoveryWatch
 	healthy      int         // ready backends that are not ejected, as of the last refresh
 	warm         int         // those of them that are in the subset and not in slow start
-	sendRate     decayingSum // attempts per warm backend, over sendRateDecay
+	answerRate   decayingSum // successful answers per warm backend, over answerRateDecay
 
 	requests            map[uint64]*request // with pending attempts or waiting for a grant
 	predecessorRequests map[uint64]*request // those that the former process carries to their end
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -71,6 +71,7 @@
 	switch result {
 	case ResultOK, ResultTimedOut:
 		if result == ResultOK {
+			g.recordWarmAnswer(backend)
 			g.reinstate(backend)
 		}
 		if !attempt.overlappedStall {
--- a/policy/recorded_test.go
+++ b/policy/recorded_test.go
@@ -168,6 +168,8 @@
 	h := recordedState(t)
 	current := h.Export(h.at)
 	want := recordedSnapshot(t, "snapshot.gob", current)
+	// Since then this sum is of answers, not of attempts: 8 so far, at 3 backends that are warm.
+	want.Pace[0] = 8.0 / 3
 	if got := decodeSnapshot(t, encodeSnapshot(t, current)); !reflect.DeepEqual(got, want) {
 		t.Errorf("wrote\n%+v, want\n%+v", got, want)
 	}
--- a/policy/report.go
+++ b/policy/report.go
@@ -93,11 +93,11 @@
 		}
 	}
 	return fmt.Sprintf("slow start: backends %d, attempts %d, denied %d, "+
-		"rate of a warm backend %.2f/s, warm %d; "+
+		"answers of a warm backend %.2f/s, warm %d; "+
 		"retries after: ok %d, failed %d, overloaded %d, timed out %d, connect failed %d, reset %d, "+
 		"not sent %d",
 		warmingUp, counters.slowStartAttempts, counters.slowStartDenied,
-		g.sendRate.value(g.now, sendRateDecay)*float64(second)/float64(sendRateDecay), g.warm,
+		g.warmAnswerRate(), g.warm,
 		retries[ResultOK], retries[ResultFailed], retries[ResultOverloaded], retries[ResultTimedOut],
 		retries[ResultConnectFailed], retries[ResultReset], retries[ResultNotSent])
 }
--- a/policy/request.go
+++ b/policy/request.go
@@ -75,8 +75,6 @@
 		backend.slowStartBucket.level--
 		backend.slowStartAttempts++
 		g.counters.slowStartAttempts++
-	} else if g.warm > 0 {
-		g.sendRate.add(g.now, sendRateDecay, 1/float64(g.warm))
 	}
 }
 
--- a/policy/simulation_actors_test.go
+++ b/policy/simulation_actors_test.go
@@ -12,7 +12,8 @@
 	endsAt    []Time               // of the requests that it holds
 	startedAt Time                 // 0: long ago
 	gone      bool
-	cutOff    bool // requests are lost on the way
+	cutOff    bool   // requests are lost on the way
+	fault     Result // how all its attempts end at once; 0: none
 	received  []receivedRequest
 }
 
@@ -29,6 +30,9 @@
 	if b.cutOff {
 		return ResultTimedOut, math.MaxInt64
 	}
+	if b.fault != 0 {
+		return b.fault, now
+	}
 	b.endsAt = slices.DeleteFunc(b.endsAt, func(at Time) bool { return at <= now })
 	if len(b.endsAt) >= simulatedCores+simulatedQueue {
 		return ResultOverloaded, now
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	sendRateDecay  = 4 * second // the time constant of the rate of attempts to warm backends
-	overloadMargin = 0.6        // the part of the load that a starting backend fails at which it is sent
+	answerRateDecay = 4 * second // the time constant of the rate of answers of warm backends
+	overloadMargin  = 0.6        // the part of the load that a starting backend fails at which it is sent
 )
 
 // slowStartShare is the least part of its capacity that a backend has by now: 1 once it is warm.
@@ -43,8 +43,8 @@
 }
 
 // slowStartAllows reports whether a backend may get one more attempt. One in slow start gets its
-// share of what this gateway sends a warm one, saved up for at most half of the overload window, so
-// that all gateways together load it no more than the warm ones.
+// share of what a warm one serves this gateway, saved up for at most half of the overload window, so
+// that all gateways together load it no more than a warm one can serve.
 func (g *Controller) slowStartAllows(backend *backend) bool {
 	share := g.slowStartShare(backend)
 	if share == 1 || g.retired { // what was saved up belongs to the process that took over
@@ -70,14 +70,32 @@
 	return bucket.level >= 1
 }
 
+// isWarm reports whether a backend shows what a warm one serves this gateway.
+func (g *Controller) isWarm(backend *backend) bool {
+	return backend.ready() && backend.inSubset && !g.unhealthy(backend) && g.slowStartShare(backend) == 1
+}
+
+// recordWarmAnswer learns from a successful answer what a warm backend serves. Attempts without one are no
+// measure of that: those that fail at once are repeated elsewhere, as often as the retry budget allows.
+func (g *Controller) recordWarmAnswer(backend *backend) {
+	if g.warm > 0 && g.isWarm(backend) {
+		g.answerRate.add(g.now, answerRateDecay, 1/float64(g.warm))
+	}
+}
+
+// warmAnswerRate is how many successful answers a second a warm backend gives this gateway.
+func (g *Controller) warmAnswerRate() float64 {
+	return g.answerRate.value(g.now, answerRateDecay) * float64(second) / float64(answerRateDecay)
+}
+
 // slowStartRate is how many attempts a second a backend in slow start gets: its share of a warm
-// backend's rate. With no warm backend in the subset it is one core's rate, the least that any
+// backend's answers. With no warm backend in the subset it is one core's rate, the least that any
 // backend has, split over the gateways that prefer it.
 func (g *Controller) slowStartRate(backend *backend, share float64) float64 {
 	if !backend.inSubset {
 		return 0 // left to the gateways that prefer it
 	}
-	rate := share * g.sendRate.value(g.now, sendRateDecay) * float64(second) / float64(sendRateDecay)
+	rate := share * g.warmAnswerRate()
 	if g.warm > 0 {
 		return rate
 	}
--- a/policy/slowstart_fleet_test.go
+++ b/policy/slowstart_fleet_test.go
@@ -53,6 +53,21 @@
 	})
 }
 
+// warmFailAtOnce has the warm backends end all attempts with a result at once for a while.
+func warmFailAtOnce(result Result) func(s *simulation) {
+	return func(s *simulation) {
+		set := func(fault Result) func() {
+			return func() {
+				for _, b := range s.backends {
+					b.fault = fault * Result(indicator(b.startedAt == 0))
+				}
+			}
+		}
+		set(result)()
+		s.schedule(s.now+11*second/2, set(0))
+	}
+}
+
 func failEarly(s *Settings)         { s.OverloadFactor, s.OverloadWindow = 1.1, 6*second }
 func shortWindow(s *Settings)       { s.OverloadWindow = second }
 func lowFactorAndFloor(s *Settings) { s.OverloadFactor, s.SlowStartFloor = 1.5, 0.15 }
@@ -101,6 +116,19 @@
 		name: "a stale list without them, then one from before", starting: 0.3, load: fullLoad,
 		settings: lowFactorAndFloor, afterStart: removeByStaleList,
 	},
+	{
+		name: "warm ones reject at once", starting: 0.3, load: overload,
+		afterStart: warmFailAtOnce(ResultOverloaded),
+	},
+	{name: "warm ones fail at once", starting: 0.3, load: fullLoad, afterStart: warmFailAtOnce(ResultFailed)},
+	{
+		name: "warm ones refuse connections", starting: 0.3, load: fullLoad,
+		afterStart: warmFailAtOnce(ResultConnectFailed),
+	},
+	{
+		name: "warm ones refuse connections, low overload factor", starting: 0.3, load: fullLoad,
+		settings: lowFactorAndFloor, afterStart: warmFailAtOnce(ResultConnectFailed),
+	},
 }
 
 // Guards the rule on starting backends: through all gateways together none gets more in a window of
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -19,7 +19,7 @@
 		Lend: encodeBucket(g.shared.tokenBucket), IdleSpill: g.shared.idleOverflow,
 		InTime: encodeSum(g.load.onTime), Peers: encodeSum(g.load.peers),
 		PeersHeld: encodeSum(g.load.peersInFlight), PeersInTime: encodeSum(g.load.peersOnTime),
-		Pace: encodeSum(g.sendRate),
+		Pace: encodeSum(g.answerRate),
 		Mean: encodeAverage(g.latency.all), ColdMean: encodeAverage(g.latency.slowStart),
 		Late: encodeAverage(g.load.lateShare), Worth: encodeAverage(g.priority),
 		Base: convertAll(g.latency.byClass, encodeAverage), Again: float64(g.retryBudget),
@@ -71,7 +71,7 @@
 	g.importGossip(snapshot)
 	g.load.onTime, g.load.peers = decodeSum(snapshot.InTime), decodeSum(snapshot.Peers)
 	g.load.peersInFlight, g.load.peersOnTime = decodeSum(snapshot.PeersHeld), decodeSum(snapshot.PeersInTime)
-	g.load.lateShare, g.sendRate = decodeAverage(snapshot.Late), decodeSum(snapshot.Pace)
+	g.load.lateShare, g.answerRate = decodeAverage(snapshot.Late), decodeSum(snapshot.Pace)
 	g.priority, g.retryBudget = decodeAverage(snapshot.Worth), retryBudget(snapshot.Again)
 	g.importLatency(snapshot, indices)
 	g.importSharedBucket(snapshot, indices)
--- a/policy/snapshot_codec.go
+++ b/policy/snapshot_codec.go
@@ -33,7 +33,7 @@
 	Peers       [2]float64     // peers that reported (a sum)
 	PeersHeld   [2]float64     // their attempts in flight (a sum)
 	PeersInTime [2]float64     // their rates of answers within the objective (a sum)
-	Pace        [2]float64     // the send rate of warm backends (a sum)
+	Pace        [2]float64     // the answer rate of warm backends (a sum); their send rate in old snapshots
 	Mean        [2]float64     // the latency of all backends (an average)
 	ColdMean    [2]float64     // the latency of backends in slow start (an average)
 	Late        [2]float64     // the share of late answers (an average)
