Tell late dials and shortages of the gateway's own from backends that restarted

Cause: each failed dial ejected its backend at once and held it in slow start after its return, as if it had restarted. Then no warm backend is left from which the rate of slow starts could be learnt. Change: the error of a dial is classified in one place. A shortage of the machine's own is repeated after a pause, at most four times, then ends as not sent, at no cost to the retry budget. A dial that was not answered while the backend answered other attempts counts like a reset: one is no evidence. Refusals stay evidence.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -19,6 +19,7 @@
 	conn         *backendConn // nil: it waits for one, or has ended
 	timeout      *timer
 	redialed     bool // its dial was reset and made again
+	unanswered   bool // its dial was not answered in time
 	ended        bool // it has its outcome
 	fullyWritten bool // to its last byte
 }
@@ -122,7 +123,7 @@
 	l.reportOutcome(policy.Outcome{
 		RequestID: r.id, Attempt: e.attempt.number, Backend: e.attempt.backend, Result: e.result,
 		Latency: e.latency, Answered: r.answered || r.valueStarted || r.client.disconnected.Load(),
-		ActualCost: e.cost, LoadReport: e.loadReport,
+		Unanswered: e.attempt.unanswered, ActualCost: e.cost, LoadReport: e.loadReport,
 	})
 	l.releaseRequest(r)
 }
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -25,6 +25,8 @@
 	idle            []*backendConn     // the most recently used last
 	waiting         []*attempt         // for a connection, oldest first
 	dialing         int                // dials under way
+	dialPaused      bool               // until dialPauseEnded
+	shortages       int                // pauses in a row, as this machine lacked what a dial takes
 	quiesceTimerSet bool               // for the end of an idle connection's quiescence period
 }
 
@@ -140,7 +142,7 @@
 	for len(b.waiting) > 0 {
 		bs.cancelWaiting(l, b.waiting[0]) // it can go to another backend at once
 	}
-	if b.state == policy.EndpointRemoved && len(b.waiting) == 0 && b.dialing == 0 {
+	if b.state == policy.EndpointRemoved && len(b.waiting) == 0 && b.dialing == 0 && !b.dialPaused {
 		delete(bs.byID, id)
 		delete(bs.byNumber, b.number)
 	}
--- a/internal/gateway/backend_dial.go
+++ b/internal/gateway/backend_dial.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"syscall"
 
 	"sparspread/internal/sockwriter"
 	"sparspread/policy"
 )
 
+const (
+	// A dial that failed for a shortage of this machine's is repeated after a pause, which doubles each time.
+	// After maxShortagePauses in a row the attempts that wait for it end: others may have more luck.
+	firstShortagePause = 5 * millisecond
+	maxShortagePauses  = 4
+)
+
 // dialForWaiting dials until there are as many dials under way as attempts wait.
 func (bs *backends) dialForWaiting(l *Loop, b *backend) {
-	for b.dialing < len(b.waiting) {
+	for b.dialing < len(b.waiting) && !b.dialPaused {
 		if bs.open >= bs.limit && !bs.evict() {
 			// A lack of file descriptors is not the backend's fault: nothing was sent, nothing is learnt of
 			// it.
@@ -53,11 +58,13 @@
 	b.dialing--
 	if e.err != nil {
 		bs.open--
-		bs.counts.dialsFailed++
-		bs.counts.lastError = e.err
-		bs.dialFailed(l, b, e.err)
+		fault := classifyDial(e.err)
+		bs.counts.dialsFailed[fault]++
+		bs.counts.lastDialError = e.err
+		bs.dialFailed(l, b, fault)
 		return
 	}
+	b.shortages = 0
 	c := &backendConn{
 		backend: b, conn: e.conn, writer: sockwriter.New(e.conn), done: make(chan struct{}),
 		valueClient: make(chan *client, 1),
@@ -72,12 +79,16 @@
 }
 
 // dialFailed ends the attempt that has waited longest if more attempts wait than dials are under way.
-func (bs *backends) dialFailed(l *Loop, b *backend, err error) {
+func (bs *backends) dialFailed(l *Loop, b *backend, fault dialFault) {
 	if len(b.waiting) <= b.dialing {
 		return
 	}
+	if fault == dialOwnShortage {
+		bs.pauseDials(l, b)
+		return
+	}
 	a := b.waiting[0]
-	if errors.Is(err, syscall.ECONNRESET) && !a.redialed {
+	if fault == dialReset && !a.redialed {
 		// Something listens there, else the dial would have been refused. Nothing was sent, so a second dial
 		// is safe.
 		a.redialed = true
@@ -85,5 +96,32 @@
 		return
 	}
 	b.waiting = b.waiting[1:]
+	a.unanswered = fault == dialUnanswered
 	l.endAttempt(a, policy.ResultConnectFailed)
 }
+
+// pauseDials has the waiting attempts' dials repeated after a pause. What this machine lacks says nothing of
+// the backend: after some pauses the attempts end as not sent.
+func (bs *backends) pauseDials(l *Loop, b *backend) {
+	if b.dialPaused {
+		return // by another dial that failed
+	}
+	if b.shortages >= maxShortagePauses {
+		b.shortages = 0
+		for len(b.waiting) > b.dialing {
+			bs.cancelWaiting(l, b.waiting[0])
+		}
+		return
+	}
+	b.dialPaused = true
+	l.schedule(l.now()+firstShortagePause<<b.shortages, dialPauseEnded{backend: b})
+	b.shortages++
+}
+
+// dialPauseEnded fires when dials to a backend may be tried again.
+type dialPauseEnded struct{ backend *backend }
+
+func (e dialPauseEnded) fire(l *Loop) {
+	e.backend.dialPaused = false
+	l.backends.dialForWaiting(l, e.backend)
+}
--- a/internal/gateway/backend_report.go
+++ b/internal/gateway/backend_report.go
@@ -30,24 +30,29 @@
 
 // backendCounts counts what happened to connections to backends since the last report in the log.
 type backendCounts struct {
-	dials       int
-	dialsFailed int
-	lastError   error // of the dials that failed; nil: none did
-	closed      [closeReasonCount]int
+	dials         int
+	dialsFailed   [dialFaultCount]int
+	lastDialError error // nil: no dial failed
+	closed        [closeReasonCount]int
 }
 
 // report logs the counts, after those of the clients, and begins anew.
 func (bs *backends) report(log *slog.Logger) {
 	attributes := []any{
-		"dialed", bs.counts.dials, "dials_failed", bs.counts.dialsFailed, "open", bs.open, "limit", bs.limit,
+		"dialed", bs.counts.dials, "open", bs.open, "limit", bs.limit,
+	}
+	for fault, count := range bs.counts.dialsFailed {
+		if count > 0 {
+			attributes = append(attributes, "dial_"+dialFault(fault).String(), count)
+		}
 	}
 	for reason, count := range bs.counts.closed {
 		if count > 0 {
 			attributes = append(attributes, "closed_"+closeReason(reason).String(), count)
 		}
 	}
-	if bs.counts.lastError != nil {
-		attributes = append(attributes, "last_dial_error", bs.counts.lastError)
+	if bs.counts.lastDialError != nil {
+		attributes = append(attributes, "last_dial_error", bs.counts.lastDialError)
 	}
 	log.Info("backend connections", attributes...)
 	bs.counts = backendCounts{}
--- a/policy/api.go
+++ b/policy/api.go
@@ -151,6 +151,7 @@
 	Result       Result
 	Latency      Time
 	Answered     bool    // the client has its final answer
+	Unanswered   bool    // ResultConnectFailed: nothing came back to the dial, it was not refused
 	MeterReading int     // 1 + the customer's use through all gateways in percent of the rate; 0: none
 	ActualCost   float64 // in units; 0: not reported
 	LoadReport   []float32
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -67,9 +67,9 @@
 		g.load.onTime.add(g.activeTime, second, indicator(!late))
 	}
 	if answered || outcome.Result == ResultFailed {
-		attempt.backend.unansweredSince = g.activeTime
+		attempt.backend.unansweredSince, attempt.backend.lastAnswerAt = g.activeTime, g.now
 	}
-	g.recordResult(attempt, request.Class, outcome.Result, float64(outcome.Latency))
+	g.recordResult(attempt, request.Class, outcome)
 	g.reportOutcomeFault(request, attempt, outcome.Result)
 	g.applyMeterReading(request.customer, outcome.MeterReading)
 	if g.settings.SettlesCost && outcome.Result == ResultOK && outcome.ActualCost > 0 {
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -16,6 +16,7 @@
 	connectionFailures decayingSum   // over connectionFailureDecay
 	faults             []decayingSum // fault reports, by class and then by plan
 	unansweredSince    Time          // active time since when it has had attempts and answered none
+	lastAnswerAt       Time          // when it last answered an attempt, in whatever way; 0: not yet
 
 	down         bool // ejected until a health check or an attempt succeeds
 	unresponsive bool // down for silence or resets alone: its process is still running
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -66,8 +66,8 @@
 }
 
 // recordResult updates a backend's health by how an attempt ended.
-func (g *Controller) recordResult(attempt *attempt, class int, result Result, latency float64) {
-	backend := attempt.backend
+func (g *Controller) recordResult(attempt *attempt, class int, outcome *Outcome) {
+	backend, result, latency := attempt.backend, outcome.Result, float64(outcome.Latency)
 	switch result {
 	case ResultOK, ResultTimedOut:
 		if result == ResultOK {
@@ -81,7 +81,9 @@
 	case ResultFailed:
 		g.recordErrorSample(backend, true)
 	case ResultConnectFailed, ResultReset:
-		if !g.recordConnectionFailure(backend, result) {
+		// A dial that was not answered while other attempts were is late, no sign of a restart.
+		late := outcome.Unanswered && backend.lastAnswerAt > attempt.sentAt
+		if !g.recordConnectionFailure(backend, late || result == ResultReset) {
 			g.recordErrorSample(backend, true)
 		}
 	}
@@ -110,13 +112,14 @@
 }
 
 // recordConnectionFailure counts a connection that failed or was reset, and reports whether the
-// backend is down. After resets alone its process may still be running, and be warm.
-func (g *Controller) recordConnectionFailure(backend *backend, result Result) (down bool) {
+// backend is down. After resets and late connections alone its process may still be running, and be
+// warm.
+func (g *Controller) recordConnectionFailure(backend *backend, mayRun bool) (down bool) {
 	backend.connectionFailures.add(g.now, connectionFailureDecay, 1)
-	if result == ResultReset && backend.connectionFailures.sum < maxConnectionFailures {
+	if mayRun && backend.connectionFailures.sum < maxConnectionFailures {
 		return false
 	}
-	backend.unresponsive = result == ResultReset && (backend.unresponsive || !backend.down)
+	backend.unresponsive = mayRun && (backend.unresponsive || !backend.down)
 	if !backend.down || g.now >= backend.nextProbeAt {
 		backend.down = true
 		g.eject(backend, "connections fail")
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -61,8 +61,11 @@
 	request *request, last *attempt, lastResult Result, rule retryRule, now Time,
 ) bool {
 	cost := retryBudget(notRunRetryCost)
-	if last.mayHaveRun {
+	switch {
+	case last.mayHaveRun:
 		cost = ranRetryCost
+	case lastResult == ResultNotSent:
+		cost = 0
 	}
 	minTime := g.settings.Classes[request.Class].LatencyObjective / minRetryTime
 	if !rule.allowed || len(request.attempts) >= g.settings.MaxAttempts || g.retryBudget < cost ||
