Time backends' starts and handovers by monotonic spans, not by two wall clocks

Cause: a backend's age was the gateway's wall clock less discovery's stamp. With discovery's clock an hour or 8 s behind a starting backend was taken for warm; one ahead held it cold; a stamp lower than the one before, as after a step back, was no start at all. Change: a stamp identifies a start, of which the last four are known; an announced start is timed by this gateway's own clock from then on, a stamp from the future is a start now. Both are new fields behind the frozen ones: older programs pass over them (test). The tests named Stepped, +-5 s and +-1 h, fail without either part. Tests: a backend of TestRestartedBackendGetsNewConnections restarted with a stamp of 2001, now a start like any other, so slow start is off there. Chance decides how many requests TestOlderSuccessorTakesOver needs; it now checks the bucket against their number.

--- a/internal/gateway/backend_pool_test.go
+++ b/internal/gateway/backend_pool_test.go
@@ -64,9 +64,9 @@
 }
 
 // A restarted backend gets a new connection, though the old one was never closed, as when a machine
-// vanishes.
+// vanishes. Without slow start, which would hold the second request.
 func TestRestartedBackendGetsNewConnections(t *testing.T) {
-	r, b, d := startWithBackend(t, nil)
+	r, b, d := startWithBackend(t, withSettings(t, `"cold-us":16000000`, `"cold-us":0`))
 	c := r.client(t)
 	c.sendLookup(1, "60000")
 	first := b.nextCall(t)
--- a/internal/gateway/handover_older_test.go
+++ b/internal/gateway/handover_older_test.go
@@ -268,6 +268,7 @@
 	backend           *fakeBackend
 	idle, spent, open *testClient
 	openCall          *backendCall // the open request at its backend
+	admitted          int          // requests of customer 7, of one unit each
 }
 
 // bringAboutRecorded brings a gateway to that situation: a customer has emptied its bucket, one backend is
@@ -288,6 +289,7 @@
 	s.idle.wantValue("two")
 	s.open.sendLookup(3, "60000")
 	s.openCall = b.nextCall(t)
+	s.admitted = 1
 
 	d.setEntries(recordedEndpoints(t, b, inspectLoop(t, s.rig, (*Loop).now))...)
 	d.awaitWatch(t)
@@ -298,6 +300,7 @@
 		b.nextCall(t).replyValue(t, "ok")
 		c.wantValue("ok")
 		closeConn(t, c.conn)
+		s.admitted++
 	}
 	return s
 }
@@ -329,7 +332,7 @@
 	s := bringAboutRecorded(t)
 	link := dialHandover(t, s.cfg)
 	state := s.acceptStateAsOlder(t, link)
-	wantRecordedState(t, state, recorded)
+	wantRecordedState(t, state, recorded, s.admitted)
 
 	// Both idle connections follow, in any order; one with the command that was held.
 	var input []byte
@@ -368,11 +371,15 @@
 	})
 }
 
-// wantRecordedState compares what does not depend on the time and on random numbers.
-func wantRecordedState(t *testing.T, got, want olderform.Snapshot) {
+// wantRecordedState compares what does not depend on the time and on random numbers. Chance is also how many
+// requests of customer 7 were admitted until one met the backend that is ejected.
+func wantRecordedState(t *testing.T, got, want olderform.Snapshot, admitted int) {
 	t.Helper()
 	for _, id := range []uint64{spentCustomer, 7} {
 		got, want := findCustomer(t, got, id), findCustomer(t, want, id)
+		if id == 7 {
+			want.Store[0] += want.Taken - float64(admitted)
+		}
 		if got.Store[0] != want.Store[0] || got.Plan != want.Plan || got.Spread != want.Spread {
 			t.Errorf("customer %x\n%+v, want\n%+v", id, got, want)
 		}
--- a/internal/handover/codec_test.go
+++ b/internal/handover/codec_test.go
@@ -75,6 +75,7 @@
 	}
 	want, n := handoverState{}, 0
 	fillNumbered(reflect.ValueOf(&want).Elem(), &n)
+	want.Module.Now, want.Module.Stamps = 0, nil // the older program has no such fields
 	if got.NextRequestID != want.NextID {
 		t.Errorf("next request id %d, want %d", got.NextRequestID, want.NextID)
 	}
@@ -118,6 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	state.Policy.Now, state.Policy.Stamps = 1, [][]policy.Time{{2}, nil} // the older program passes over them
 	written, err := EncodeState(state)
 	if err != nil {
 		t.Fatal(err)
@@ -127,11 +129,14 @@
 	}
 }
 
+// addedFields are the fields that a type has got since, behind the older ones.
+var addedFields = map[reflect.Type][]string{reflect.TypeFor[policy.Snapshot](): {"Now", "Stamps"}}
+
 func TestEncodedFormsHaveTheFieldsOfTheOlderProgram(t *testing.T) {
 	wantSameFields(t, reflect.TypeFor[handoverState](), reflect.TypeFor[olderform.State]())
 }
 
-// wantSameFields compares the names and kinds of all fields, however deep.
+// wantSameFields compares the names and kinds of all fields, however deep, but for the added ones.
 func wantSameFields(t *testing.T, got, want reflect.Type) {
 	t.Helper()
 	if got.Kind() != want.Kind() {
@@ -145,11 +150,17 @@
 		}
 		wantSameFields(t, got.Elem(), want.Elem())
 	case reflect.Struct:
-		if got.NumField() != want.NumField() {
-			t.Errorf("%s has %d fields, want %d", got, got.NumField(), want.NumField())
+		added := addedFields[got]
+		if got.NumField() != want.NumField()+len(added) {
+			t.Errorf("%s has %d fields, want %d and %q", got, got.NumField(), want.NumField(), added)
 			return
 		}
-		for i := range got.NumField() {
+		for i, name := range added {
+			if field := got.Field(want.NumField() + i); field.Name != name {
+				t.Errorf("%s: added field %s, want %s", got, field.Name, name)
+			}
+		}
+		for i := range want.NumField() {
 			if got.Field(i).Name != want.Field(i).Name {
 				t.Errorf("%s: field %d is %s, want %s", got, i, got.Field(i).Name, want.Field(i).Name)
 			}
--- a/policy/api.go
+++ b/policy/api.go
@@ -118,7 +118,7 @@
 	Zone, Cell   int
 	State        EndpointState
 	CapacityHint float64
-	StartedAt    Time // 0: long ago
+	StartedAt    Time // by service discovery's clock; 0: long ago
 }
 
 // UpdateKind says what an endpoint update holds.
--- a/policy/controller.go
+++ b/policy/controller.go
@@ -32,6 +32,7 @@
 
 	backends     []*backend
 	backendsByID map[uint32]*backend
+	departed     map[uint32]departedBackend // by ID: no longer listed
 	discovery    discoveryWatch
 	healthy      int         // ready backends that are not ejected, as of the last refresh
 	warm         int         // those of them that are in the subset and not in slow start
@@ -81,6 +82,7 @@
 		peers:       make([]peer, settings.Gateways),
 
 		backendsByID: map[uint32]*backend{},
+		departed:     map[uint32]departedBackend{},
 
 		requests:            map[uint64]*request{},
 		predecessorRequests: map[uint64]*request{},
@@ -152,6 +154,7 @@
 		g.logCounters()
 		g.queueLoadView(loadViewPeers) // peers hear of it also while this gateway sends nothing
 		g.sweepCustomers()
+		g.sweepDeparted()
 	}
 	if !g.retired {
 		g.runGossipRound()
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -24,6 +24,8 @@
 	ejectionTime Time // how long that ejection lasts
 	nextProbeAt  Time
 
+	startedAt         Time        // by this gateway's clock; 0: long ago
+	stamps            startStamps // of its starts
 	slowStartBucket   tokenBucket // attempts that it may still get in slow start
 	slowStartAttempts int         // that it has got since its slow start began
 	warmingUp         bool        // the log says that it is in slow start
@@ -35,6 +37,7 @@
 // discoveryWatch is the state of the watch on the endpoint list, where the list is polled.
 type discoveryWatch struct {
 	active      bool // an answer has come, and no error since
+	listed      bool // a list has come that is not from before this gateway's start
 	requestedAt Time
 }
 
@@ -68,6 +71,7 @@
 	for _, endpoint := range list {
 		g.updateEndpoint(endpoint)
 	}
+	g.discovery.listed = g.discovery.listed || kind != UpdateStale
 	g.pruneBackends()
 	g.selectSubset()
 }
@@ -75,12 +79,8 @@
 // updateEndpoint applies one entry of the list. A backend that has restarted begins a slow start.
 func (g *Controller) updateEndpoint(endpoint Endpoint) {
 	backend := g.backendRecord(endpoint)
-	if endpoint.StartedAt > backend.StartedAt {
-		backend.latencyRatio, backend.errorRate = 0, 0
-		g.beginSlowStart(backend, endpoint.StartedAt, "its start was announced")
-	}
-	endpoint.StartedAt = max(endpoint.StartedAt, backend.StartedAt)
 	backend.Endpoint, backend.listed = endpoint, endpoint.State != EndpointRemoved
+	g.noteStart(backend, endpoint.StartedAt)
 }
 
 // backendRecord returns the record of an endpoint. It makes a missing one.
@@ -89,10 +89,10 @@
 		return known
 	}
 	added := &backend{
-		Endpoint: endpoint,
-		faults:   make([]decayingSum, len(g.settings.Classes)+len(g.settings.Plans)),
+		Endpoint: endpoint, slowStartBucket: g.newSlowStartBucket(),
+		faults: make([]decayingSum, len(g.settings.Classes)+len(g.settings.Plans)),
 	}
-	g.beginSlowStart(added, endpoint.StartedAt, "it is listed for the first time")
+	g.restoreDeparted(added)
 	g.backendsByID[endpoint.ID] = added
 	g.backends = append(g.backends, added)
 	return added
@@ -105,6 +105,9 @@
 		gone := !backend.listed && backend.inFlight == 0 && g.slowStartShare(backend) == 1
 		if gone {
 			delete(g.backendsByID, backend.ID)
+			g.departed[backend.ID] = departedBackend{
+				stamps: backend.stamps, startedAt: backend.startedAt, at: g.now,
+			}
 		}
 		return gone
 	})
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -49,7 +49,7 @@
 	}
 	backend.down, backend.latencyRatio, backend.unansweredSince = false, 0, g.activeTime
 	if !backend.unresponsive {
-		g.beginSlowStart(backend, max(backend.StartedAt, g.now), "connections had failed")
+		g.beginSlowStart(backend, g.now, "connections had failed")
 	}
 	g.actions.Log(fmt.Sprintf("backend %d reinstated", backend.ID))
 }
--- a/policy/recorded_test.go
+++ b/policy/recorded_test.go
@@ -170,6 +170,8 @@
 	want := recordedSnapshot(t, "snapshot.gob", current)
 	// Since then this sum is of answers, not of attempts: 8 so far, at 3 backends that are warm.
 	want.Pace[0] = 8.0 / 3
+	// These were added.
+	want.Now, want.Stamps = h.at, [][]Time{nil, nil, {start + second}, nil}
 	if got := decodeSnapshot(t, encodeSnapshot(t, current)); !reflect.DeepEqual(got, want) {
 		t.Errorf("wrote\n%+v, want\n%+v", got, want)
 	}
@@ -263,10 +265,14 @@
 
 // Every field of a snapshot has its name and its place: a renamed one would be lost without an error.
 func TestEveryFieldOfASnapshotIsReadAndWritten(t *testing.T) {
-	want, n := Snapshot{}, 0
-	fillNumbered(reflect.ValueOf(&want).Elem(), &n)
-	got := *recordedSnapshot(t, "snapshot-fields.gob", &want)
-	if !reflect.DeepEqual(got, want) {
-		t.Errorf("read\n%+v, want\n%+v", got, want)
+	all, n := Snapshot{}, 0
+	fillNumbered(reflect.ValueOf(&all).Elem(), &n)
+	if got := decodeSnapshot(t, encodeSnapshot(t, &all)); !reflect.DeepEqual(*got, all) {
+		t.Errorf("read\n%+v, want\n%+v", *got, all)
+	}
+	older := all
+	older.Now, older.Stamps = 0, nil // were added later, behind the others
+	if got := *recordedSnapshot(t, "snapshot-fields.gob", &older); !reflect.DeepEqual(got, older) {
+		t.Errorf("read\n%+v, want\n%+v", got, older)
 	}
 }
--- a/policy/simulation_test.go
+++ b/policy/simulation_test.go
@@ -28,6 +28,7 @@
 	shift      bool    // after two seconds other gateways get it
 	late       float64 // the part of the gateways that hears of the start later
 	lateBy     Time
+	clockStep  Time    // by which the gateways' clocks are ahead of discovery's
 	staleLists bool    // lists come twice a second, every other one from before the start
 	mayBeIdle  bool    // faults turn traffic away from the starting backends
 	minUse     float64 // the least part of what they can serve that they must get; 0: a quarter
@@ -96,7 +97,10 @@
 func (s *simulation) endpoints(stale bool) []Endpoint {
 	var list []Endpoint
 	for i, b := range s.backends {
-		endpoint := Endpoint{ID: uint32(i + 1), Zone: i % 2, StartedAt: b.startedAt}
+		endpoint := Endpoint{ID: uint32(i + 1), Zone: i % 2}
+		if b.startedAt > 0 {
+			endpoint.StartedAt = b.startedAt - s.scenario.clockStep
+		}
 		if stale {
 			endpoint.StartedAt = 0
 		} else if b.gone {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -12,16 +12,16 @@
 
 // slowStartShare is the least part of its capacity that a backend has by now: 1 once it is warm.
 func (g *Controller) slowStartShare(backend *backend) float64 {
-	if backend.StartedAt == 0 || g.settings.SlowStartTime == 0 {
+	if backend.startedAt == 0 || g.settings.SlowStartTime == 0 {
 		return 1
 	}
-	age := math.Max(0, float64(g.now-backend.StartedAt)/float64(g.settings.SlowStartTime))
+	age := math.Max(0, float64(g.now-backend.startedAt)/float64(g.settings.SlowStartTime))
 	return math.Min(1, g.settings.SlowStartFloor+(1-g.settings.SlowStartFloor)*age)
 }
 
 // beginSlowStart notes that a backend has started, or may have.
 func (g *Controller) beginSlowStart(backend *backend, startedAt Time, why string) {
-	backend.StartedAt, backend.slowStartBucket = startedAt, g.newSlowStartBucket()
+	backend.startedAt, backend.slowStartBucket = startedAt, g.newSlowStartBucket()
 	backend.slowStartAttempts = 0
 	if share := g.slowStartShare(backend); share < 1 {
 		backend.warmingUp = true
--- a/policy/slowstart_fleet_test.go
+++ b/policy/slowstart_fleet_test.go
@@ -116,6 +116,15 @@
 		name: "a stale list without them, then one from before", starting: 0.3, load: fullLoad,
 		settings: lowFactorAndFloor, afterStart: removeByStaleList,
 	},
+	{
+		name: "clocks 8 s ahead", starting: 0.3, clockStep: 8 * second,
+		load: fullLoad, settings: lowFactorAndFloor,
+	},
+	{
+		name: "clocks an hour ahead", starting: 0.3, clockStep: 3600 * second,
+		load: fullLoad, settings: lowFactorAndFloor,
+	},
+	{name: "clocks an hour behind", starting: 0.3, load: fullLoad, clockStep: -3600 * second},
 	{
 		name: "warm ones reject at once", starting: 0.3, load: overload,
 		afterStart: warmFailAtOnce(ResultOverloaded),
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -37,6 +37,8 @@
 		snapshot.Customers = append(snapshot.Customers, encodeCustomer(customer))
 	}
 	snapshot.Backends = convertAll(g.backends, encodeBackend)
+	snapshot.Stamps = convertAll(g.backends, func(b *backend) []Time { return b.stamps.known })
+	snapshot.Now = g.now
 	for _, request := range g.requests {
 		if request.hasPending() {
 			snapshot.Open = append(snapshot.Open, encodeRequest(request))
@@ -65,6 +67,7 @@
 		return err
 	}
 	g.advanceClock(now)
+	snapshot.rebase(g.now)
 	indices := g.indicesOf(snapshot)
 	g.startedAt, g.resumedAt, g.sweptAt = snapshot.Born, snapshot.Woke, snapshot.Swept
 	g.stalledTime, g.activeTime = snapshot.Still, g.now-snapshot.Still
@@ -79,7 +82,12 @@
 		g.importCustomer(&snapshot.Customers[i], indices)
 	}
 	for i := range snapshot.Backends {
-		g.importBackend(&snapshot.Backends[i], indices)
+		backend := g.importBackend(&snapshot.Backends[i], indices)
+		var stamps startStamps
+		if i < len(snapshot.Stamps) {
+			stamps.known = snapshot.Stamps[i]
+		}
+		g.importStart(backend, snapshot.Backends[i].Started, stamps)
 	}
 	for i := range snapshot.Open {
 		g.importRequest(&snapshot.Open[i], indices)
@@ -156,7 +164,7 @@
 	}
 }
 
-func (g *Controller) importBackend(state *BackendState, indices snapshotIndices) {
+func (g *Controller) importBackend(state *BackendState, indices snapshotIndices) *backend {
 	backend := g.unlistedBackend(state.Backend)
 	state.decodeInto(backend)
 	for i, faults := range state.Words {
@@ -164,6 +172,19 @@
 			backend.faults[subject] = decodeSum(faults)
 		}
 	}
+	return backend
+}
+
+// importStart goes on with the start that the other process knew of a backend, which that one may have seen
+// to happen, unless this process has heard of a later one.
+func (g *Controller) importStart(backend *backend, startedAt Time, stamps startStamps) {
+	startedAt = min(startedAt, g.now)
+	isUnknown := func(stamp Time) bool { return !stamps.contains(stamp) }
+	if slices.ContainsFunc(backend.stamps.known, isUnknown) {
+		backend.startedAt = max(backend.startedAt, startedAt)
+		return
+	}
+	backend.startedAt, backend.stamps = startedAt, stamps
 }
 
 // importedSubject is the index here of a snapshot's fault reports; -1: not in the settings.
--- /dev/null
+++ b/policy/snapshot_clock.go
@@ -0,0 +1,79 @@
+package policy
+
+// The two processes of a handover read clocks that may differ: each takes the wall clock's time once, at
+// its start, and the wall clock may have been stepped since. Spans are the same by both.
+
+// writtenAt is when the snapshot was written, by the writer's clock. Older versions do not state it: the
+// writer's buckets are all refilled when it writes, and the newest of their times is that one.
+func (s *Snapshot) writtenAt() Time {
+	if s.Now != 0 {
+		return s.Now
+	}
+	newest := max(s.Born, s.Woke, s.Swept)
+	for i := range s.Customers {
+		newest = max(newest, Time(s.Customers[i].Store[bucketUpdatedAt]))
+	}
+	return newest
+}
+
+// rebase moves all times of the snapshot from the writer's clock to one by which it is now.
+func (s *Snapshot) rebase(now Time) {
+	shift := timeShift(now - s.writtenAt())
+	s.Now = now
+	shift.times(&s.Born, &s.Woke, &s.Swept)
+	for i := range s.HeardAt {
+		shift.times(&s.HeardAt[i])
+	}
+	shift.buckets(&s.Lend)
+	shift.sums(&s.InTime, &s.Peers, &s.PeersHeld, &s.PeersInTime, &s.Pace)
+	for i := range s.Customers {
+		customer := &s.Customers[i]
+		shift.buckets(&customer.Store, &customer.Ceiling)
+		shift.sums(&customer.Use, &customer.Others, &customer.Metered)
+		shift.times(&customer.GrantAt, &customer.TellAt)
+	}
+	for i := range s.Backends {
+		shift.backend(&s.Backends[i])
+	}
+	for i := range s.Open {
+		for j := range s.Open[i].Attempts {
+			shift.times(&s.Open[i].Attempts[j].At)
+		}
+	}
+}
+
+// timeShift is what is added to times. A time of 0 stands for none and stays.
+type timeShift Time
+
+func (shift timeShift) times(times ...*Time) {
+	for _, at := range times {
+		if *at != 0 {
+			*at += Time(shift)
+		}
+	}
+}
+
+func (shift timeShift) buckets(buckets ...*[4]float64) {
+	for _, bucket := range buckets {
+		if bucket[bucketUpdatedAt] != 0 {
+			bucket[bucketUpdatedAt] += float64(shift)
+		}
+	}
+}
+
+func (shift timeShift) sums(sums ...*[2]float64) {
+	for _, sum := range sums {
+		if sum[sumUpdatedAt] != 0 {
+			sum[sumUpdatedAt] += float64(shift)
+		}
+	}
+}
+
+func (shift timeShift) backend(state *BackendState) {
+	shift.times(&state.Started, &state.Quiet, &state.SlowAt, &state.Left, &state.TrialAt)
+	shift.buckets(&state.Cold)
+	shift.sums(&state.Breaks)
+	for i := range state.Words {
+		shift.sums(&state.Words[i])
+	}
+}
--- a/policy/snapshot_codec.go
+++ b/policy/snapshot_codec.go
@@ -41,6 +41,9 @@
 	Base        [][2]float64   // the latency of each class (averages)
 	Grace       [][][2]float64 // how long clients wait, by plan and class (averages)
 	Again       float64        // the retry budget
+
+	Now    Time     // when it was written, by the writer's clock; 0 in old snapshots
+	Stamps [][]Time // the known stamps of each backend's starts; nil in old snapshots
 }
 
 // CustomerState is the state of one customer.
@@ -120,12 +123,20 @@
 
 // The positions in the arrays are known to the following functions only.
 
+// The positions of the times in the arrays.
+const (
+	bucketUpdatedAt = 3
+	sumUpdatedAt    = 1
+)
+
 func encodeBucket(bucket tokenBucket) [4]float64 {
 	return [4]float64{bucket.level, bucket.rate, bucket.capacity, float64(bucket.updatedAt)}
 }
 
 func decodeBucket(state [4]float64) tokenBucket {
-	return tokenBucket{level: state[0], rate: state[1], capacity: state[2], updatedAt: Time(state[3])}
+	return tokenBucket{
+		level: state[0], rate: state[1], capacity: state[2], updatedAt: Time(state[bucketUpdatedAt]),
+	}
 }
 
 func encodeSum(decaying decayingSum) [2]float64 {
@@ -133,7 +144,7 @@
 }
 
 func decodeSum(state [2]float64) decayingSum {
-	return decayingSum{sum: state[0], updatedAt: Time(state[1])}
+	return decayingSum{sum: state[0], updatedAt: Time(state[sumUpdatedAt])}
 }
 
 func encodeAverage(average movingAverage) [2]float64 {
@@ -220,7 +231,7 @@
 
 func encodeBackend(backend *backend) BackendState {
 	return BackendState{
-		Backend: backend.ID, Started: backend.StartedAt,
+		Backend: backend.ID, Started: backend.startedAt,
 		Quiet: backend.unansweredSince, SlowAt: backend.latencyRatioAt,
 		Left: backend.ejectedAt, Wait: backend.ejectionTime, TrialAt: backend.nextProbeAt,
 		Slow: backend.latencyRatio, Errs: backend.errorRate, Down: backend.down, Silent: backend.unresponsive,
@@ -229,10 +240,9 @@
 	}
 }
 
-// decodeInto sets a backend's state but for its fault reports, whose indices differ between
-// processes.
+// decodeInto sets a backend's state but for its start, and for its fault reports, whose indices differ
+// between processes.
 func (s *BackendState) decodeInto(backend *backend) {
-	backend.StartedAt = max(backend.StartedAt, s.Started)
 	backend.unansweredSince, backend.latencyRatio, backend.latencyRatioAt = s.Quiet, s.Slow, s.SlowAt
 	backend.errorRate, backend.connectionFailures = s.Errs, decodeSum(s.Breaks)
 	backend.ejectedAt, backend.ejectionTime, backend.nextProbeAt = s.Left, s.Wait, s.TrialAt
--- /dev/null
+++ b/policy/stepped_clock_test.go
@@ -0,0 +1,158 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+// clockSteps are by how much one wall clock may be ahead of another.
+var clockSteps = []Time{-3600 * second, -5 * second, 0, 5 * second, 3600 * second}
+
+// steppedStart is late enough that no step leads before time 0.
+const steppedStart = 4 * 3600 * second
+
+func newSteppedHarness(t *testing.T, settings Settings, at Time) *harness {
+	t.Helper()
+	h := newUnstartedHarness(t, settings, 1, at)
+	h.UpdateEndpoints(h.at, UpdateComplete, endpoints(4))
+	return h
+}
+
+// forEachStep runs a test for each step of a clock.
+func forEachStep(t *testing.T, test func(t *testing.T, step Time)) {
+	t.Helper()
+	for _, step := range clockSteps {
+		t.Run(fmt.Sprintf("%d s", step/second), func(t *testing.T) { test(t, step) })
+	}
+}
+
+// A start that is announced while the gateway runs is timed by its own clock.
+func TestAnnouncedStartIsTimedFromThenOnWithSteppedClock(t *testing.T) {
+	forEachStep(t, func(t *testing.T, step Time) {
+		t.Helper()
+		settings := slowStartSettings()
+		h := newSteppedHarness(t, settings, steppedStart)
+		for life := range Time(3) { // each after another step, the last one back
+			stamp := h.at + step*(1-life)
+			h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 4, Cell: 1, StartedAt: stamp}})
+			backend := h.backendsByID[4]
+			assertNear(t, "share at the start", h.slowStartShare(backend), settings.SlowStartFloor)
+			h.at += settings.SlowStartTime / 2
+			h.TimerFired(h.at, gossipTimer)
+			assertNear(t, "share halfway", h.slowStartShare(backend), (1+settings.SlowStartFloor)/2)
+			h.at += settings.SlowStartTime / 2
+			h.TimerFired(h.at, gossipTimer)
+			assertNear(t, "share at the end", h.slowStartShare(backend), 1)
+			h.at += second // no two starts have one stamp
+		}
+	})
+}
+
+// A backend that is listed as the gateway starts has only its stamp. One from the future is a start now: the
+// backend is warm a slow start later, not when the clocks meet.
+func TestStampFromTheFutureIsAStartNowWithSteppedClock(t *testing.T) {
+	settings := slowStartSettings()
+	h := newUnstartedHarness(t, settings, 1, steppedStart)
+	list := endpoints(4)
+	list[0].StartedAt = steppedStart + 3600*second
+	list[1].StartedAt = steppedStart - 3600*second
+	h.UpdateEndpoints(h.at, UpdateComplete, list)
+	assertNear(t, "share", h.slowStartShare(h.backendsByID[1]), settings.SlowStartFloor)
+	assertNear(t, "share of the old one", h.slowStartShare(h.backendsByID[2]), 1)
+	h.at += settings.SlowStartTime
+	h.UpdateEndpoints(h.at, UpdateComplete, list)
+	assertNear(t, "share at the end", h.slowStartShare(h.backendsByID[1]), 1)
+}
+
+// Lists from before a start, and backends that are missing from a list for a while, begin no slow start.
+func TestKnownStampsBeginNoSlowStart(t *testing.T) {
+	settings := slowStartSettings()
+	h := newSteppedHarness(t, settings, steppedStart)
+	const before, after = steppedStart - 100*second, steppedStart - 50*second
+	for _, stamp := range []Time{before, after} {
+		h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 4, Cell: 1, StartedAt: stamp}})
+	}
+	h.at += settings.SlowStartTime
+	for range 3 {
+		for _, stamp := range []Time{before, 0, after} {
+			h.at += second
+			h.UpdateEndpoints(h.at, UpdateComplete, endpoints(3))
+			h.at += second
+			h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 4, Cell: 1, StartedAt: stamp}})
+			assertNear(t, "share", h.slowStartShare(h.backendsByID[4]), 1)
+		}
+	}
+	h.UpdateEndpoints(h.at, UpdateComplete, endpoints(3))
+	h.at += departedRetention + second
+	h.TimerFired(h.at, gossipTimer)
+	if n := len(h.departed); n != 0 {
+		t.Errorf("%d backends remembered long after they were listed", n)
+	}
+}
+
+// handOverStepped hands over to a process whose clock is ahead by a step; with older the snapshot is that
+// of a version that states neither its time nor stamps.
+func (h *harness) handOverStepped(t *testing.T, settings Settings, step Time, older bool) *harness {
+	t.Helper()
+	snapshot := decodeSnapshot(t, encodeSnapshot(t, h.Export(h.at)))
+	if older {
+		snapshot.Now, snapshot.Stamps = 0, nil
+	}
+	next := newSteppedHarness(t, settings, h.at+step)
+	next.nextID = h.nextID
+	if err := next.Import(next.at, snapshot); err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// What a predecessor has granted is not granted again, and what it would grant later is not withheld, however
+// far the clocks of the two processes are apart.
+func TestHandoverKeepsBucketsWithSteppedClock(t *testing.T) {
+	forEachStep(t, func(t *testing.T, step Time) {
+		t.Helper()
+		for _, older := range []bool{false, true} {
+			h := newSteppedHarness(t, namedSettings(), steppedStart)
+			for h.serve(2, 7, 1) { // until the bucket or the ceiling is empty
+				continue
+			}
+			next := h.handOverStepped(t, namedSettings(), step, older)
+			if next.serve(2, 7, 1) {
+				t.Errorf("older %t: granted a burst again", older)
+			}
+			served := [2]int{}
+			for range 100 {
+				for i, gateway := range []*harness{h, next} {
+					gateway.at += second / 10
+					gateway.TimerFired(gateway.at, gossipTimer)
+					served[i] += int(indicator(gateway.serve(2, 7, 1)))
+				}
+			}
+			if served[0] == 0 || served[1] != served[0] {
+				t.Errorf("older %t: served %d in 10 s, the predecessor would have served %d",
+					older, served[1], served[0])
+			}
+		}
+	})
+}
+
+// A slow start and an ejection go on where they were.
+func TestHandoverKeepsSlowStartAndEjectionWithSteppedClock(t *testing.T) {
+	forEachStep(t, func(t *testing.T, step Time) {
+		t.Helper()
+		for _, older := range []bool{false, true} {
+			settings := slowStartSettings()
+			h := newSteppedHarness(t, settings, steppedStart)
+			h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 4, Cell: 1, StartedAt: h.at + step}})
+			h.serve(0, 7, 1) // a customer, by whose bucket an older snapshot shows its time
+			h.at += settings.SlowStartTime / 4
+			h.TimerFired(h.at, gossipTimer)
+			h.recordConnectionFailure(h.backendsByID[1], false)
+			next := h.handOverStepped(t, settings, step, older)
+			share := h.slowStartShare(h.backendsByID[4])
+			assertNear(t, "share", next.slowStartShare(next.backendsByID[4]), share)
+			ejected, was := next.backendsByID[1], h.backendsByID[1]
+			assertNear(t, "ejection", float64(ejected.nextProbeAt-next.at), float64(was.nextProbeAt-h.at))
+		}
+	})
+}
