Charge slow starts as attempts are written, not as they are chosen

Cause: an attempt that waits for a connection was charged when it was chosen. Connections that come up late, all at once, carried what had been charged over seconds; an attempt chosen while its backend was warm was written to the process that had just started and charged to nobody, also by a process that had handed over. Change: Send reports whether an attempt waits; the bucket holds an attempt for it, and ConfirmSend, asked right before the write, takes it, or turns the attempt away. What is not written is given back.

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -11,8 +11,8 @@
 var _ policy.Actions = (*Loop)(nil)
 
 // Send starts the next attempt of a request, which ends at until or, if that is 0 or later, by the request's
-// deadline.
-func (l *Loop) Send(id uint64, backend uint32, until policy.Time) {
+// deadline. It reports whether the attempt waits for a connection.
+func (l *Loop) Send(id uint64, backend uint32, until policy.Time) (waiting bool) {
 	r := l.requests.byID[id]
 	if r == nil {
 		panic(fmt.Sprintf("send for request %d, which is not open", id))
@@ -24,7 +24,7 @@
 	a := &attempt{request: r, number: r.attempts, sentAt: l.now(), expiresAt: until}
 	r.attempts++
 	r.attemptsInFlight++
-	l.backends.startAttempt(l, a, backend)
+	return l.backends.startAttempt(l, a, backend)
 }
 
 // Reject gives a request the final reply that nothing ran; after (0: none) advises when to retry.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -37,16 +37,17 @@
 	a.request.metrics.Attempts.Add(1)
 }
 
-// startAttempt sends an attempt or health check to a backend.
-func (bs *backends) startAttempt(l *Loop, a *attempt, number uint32) {
+// startAttempt sends an attempt or health check to a backend. It reports whether the attempt waits for a
+// connection.
+func (bs *backends) startAttempt(l *Loop, a *attempt, number uint32) (waiting bool) {
 	a.backend = number
 	b := bs.byNumber[number]
 	a.timeout = l.schedule(a.expiresAt, attemptTimeout{attempt: a})
 	if b == nil || b.state != policy.EndpointReady || !a.canBeSent() {
 		l.endAttempt(a, policy.ResultNotSent)
-		return
+		return false
 	}
-	bs.assign(l, b, a)
+	return bs.assign(l, b, a)
 }
 
 // canBeSent reports whether the client still waits, and a large body has not gone to an earlier attempt: it
--- a/internal/gateway/backend_dial_test.go
+++ b/internal/gateway/backend_dial_test.go
@@ -84,6 +84,25 @@
 	}
 }
 
+// A backend restarts while an attempt waits for a connection to it: nothing is written that its slow start
+// does not allow.
+func TestWaitingAttemptIsHeldBackFromARestartedBackend(t *testing.T) {
+	l, b, dialing, unblock := newLoopWithBlockedDials(t)
+	c := connectWithRequest(t, l, "c=once")
+	wait(t, dialing, "the dial")
+	restarted := b.endpoint()
+	restarted.UpSinceMS = 1_000_000_000_000
+	l.updateEndpoint(policy.UpdateIncremental, restarted)
+	close(unblock)
+	handleNext(t, l, "the dial's end")
+	_ = wait(t, b.closed, "the end of the first connection")
+	handleNext(t, l, "the second dial's end")
+	c.wantLine("-BUSY 2000")
+	if len(b.calls) > 0 {
+		t.Error("written")
+	}
+}
+
 // A dial that is reset is repeated once before the attempt fails: nothing was sent, and something listens
 // there.
 func TestResetDialIsRepeatedOnce(t *testing.T) {
--- a/internal/gateway/backend_pool.go
+++ b/internal/gateway/backend_pool.go
@@ -31,11 +31,12 @@
 	return c.bytesRead.Load() == c.bytesUsed && c.writer.NoInput()
 }
 
-// assign writes an attempt to an idle connection; without one it waits for a dial.
-func (bs *backends) assign(l *Loop, b *backend, a *attempt) {
+// assign writes an attempt to an idle connection; without one it waits for a dial. It reports whether the
+// attempt waits.
+func (bs *backends) assign(l *Loop, b *backend, a *attempt) (waiting bool) {
 	for c := bs.takeIdle(l, b); c != nil; c = bs.takeIdle(l, b) {
 		if bs.write(l, c, a) {
-			return
+			return false
 		}
 	}
 	b.waiting = append(b.waiting, a)
@@ -44,6 +45,7 @@
 	}
 	bs.awaitQuiescence(l, b)
 	bs.dialForWaiting(l, b)
+	return true
 }
 
 // takeIdle removes and returns the most recently used idle connection that is not quiescing; nil: there is
@@ -143,7 +145,7 @@
 // mayStillSend reports whether an attempt that has waited for a connection is still wanted.
 func (l *Loop) mayStillSend(a *attempt) bool {
 	r := a.request
-	return r == nil || !r.client.disconnected.Load() && l.controller.MaySend(l.now(), r.id, a.number)
+	return r == nil || !r.client.disconnected.Load() && l.controller.ConfirmSend(l.now(), r.id, a.number)
 }
 
 // addIdle keeps a connection for a later attempt.
--- a/internal/simproto/reply.go
+++ b/internal/simproto/reply.go
@@ -54,12 +54,13 @@
 	r.buf = append(r.buf, s...)
 }
 
-// Send appends an attempt at a backend.
-func (r *Reply) Send(id uint64, backend uint32, until policy.Time) {
+// Send appends an attempt at a backend, which the simulator sends at once.
+func (r *Reply) Send(id uint64, backend uint32, until policy.Time) (waiting bool) {
 	r.appendHeader(codeSend)
 	r.appendUint64(id)
 	r.appendUint64(uint64(until))
 	r.appendUint32(backend)
+	return false
 }
 
 // Reject appends a rejection.
--- a/policy/api.go
+++ b/policy/api.go
@@ -161,8 +161,9 @@
 // call the controller back.
 type Actions interface {
 	// Send starts the next attempt of a request. The attempt is given up at until, or at the
-	// client's deadline if until is 0.
-	Send(id uint64, backend uint32, until Time)
+	// client's deadline if until is 0. Send reports whether the attempt waits, for a connection: the
+	// host then asks ConfirmSend right before it writes it.
+	Send(id uint64, backend uint32, until Time) (waiting bool)
 	// Reject answers that the request did not run and may be sent again after the given time.
 	Reject(id uint64, after Time)
 	// Fail answers with an error that promises nothing.
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -4,15 +4,18 @@
 
 // send starts a request's next attempt.
 func (g *Controller) send(request *request, backend *backend) {
-	g.recordSend(request, backend)
+	attempt := g.recordSend(request, backend)
 	deadline := g.attemptDeadline(request)
 	g.counters.countSend(backend)
-	g.actions.Send(request.ID, backend.ID, deadline)
+	waiting := g.actions.Send(request.ID, backend.ID, deadline)
+	g.chargeSlowStart(attempt, waiting)
 }
 
-// MaySend reports whether an attempt whose write was delayed may still be written: its request is
-// open, its backend ready, and it repeats nothing that may have run and must not run twice.
-func (g *Controller) MaySend(now Time, id uint64, attemptNumber int) bool {
+// ConfirmSend reports whether an attempt that had to wait may be written now: its request is open, its
+// backend ready, it repeats nothing that may have run and must not run twice, and the slow start of its
+// backend, which may have begun since, has an attempt left, which it takes.
+func (g *Controller) ConfirmSend(now Time, id uint64, attemptNumber int) bool {
+	g.advanceClock(now)
 	request := g.requests[id]
 	attempt := request.pendingAttempt(attemptNumber)
 	if attempt == nil || request.answered {
@@ -21,7 +24,8 @@
 	others := slices.Delete(slices.Clone(request.attempts), attemptNumber, attemptNumber+1)
 	rule, class := g.ruleFor(request, others, now), &g.settings.Classes[request.Class]
 	return rule.allowed && attempt.backend.ready() &&
-		(rule.within == nil || class.sameDedupScope(rule.within.backend, attempt.backend))
+		(rule.within == nil || class.sameDedupScope(rule.within.backend, attempt.backend)) &&
+		g.chargeWaiting(attempt)
 }
 
 // AttemptEnded handles an attempt's outcome. Once no attempt is pending and the client has no answer,
@@ -60,6 +64,7 @@
 // settleAttempt updates the load, the backend's health and the customer's use by an outcome.
 func (g *Controller) settleAttempt(request *request, attempt *attempt, outcome *Outcome) {
 	attempt.release(request.customer)
+	g.releaseSlowStart(attempt, outcome.Result)
 	late := outcome.Latency > g.settings.Classes[request.Class].LatencyObjective
 	answered := outcome.Result == ResultOK || outcome.Result == ResultOverloaded
 	if !attempt.overlappedStall && (answered || outcome.Result == ResultTimedOut && late) {
--- a/policy/attempts_test.go
+++ b/policy/attempts_test.go
@@ -81,10 +81,10 @@
 			h := newHarness(t, testSettings())
 			id, _ := h.request(0, 1, 9, 1)
 			c.change(h, id)
-			if got := h.MaySend(h.at, id, 0); got != c.want {
+			if got := h.ConfirmSend(h.at, id, 0); got != c.want {
 				t.Errorf("got %t, want %t", got, c.want)
 			}
-			if h.MaySend(h.at, id, 1) || h.MaySend(h.at, 999, 0) {
+			if h.ConfirmSend(h.at, id, 1) || h.ConfirmSend(h.at, 999, 0) {
 				t.Error("an unknown attempt may be sent")
 			}
 		})
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -27,6 +27,7 @@
 	startedAt         Time        // by this gateway's clock; 0: long ago
 	stamps            startStamps // of its starts
 	slowStartBucket   tokenBucket // attempts that it may still get in slow start
+	slowStartWaiting  int         // those of them that are held for attempts that wait for a connection
 	slowStartAttempts int         // that it has got since its slow start began
 	warmingUp         bool        // the log says that it is in slow start
 }
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -12,8 +12,9 @@
 	timers []policy.Time // when they are due; all have token 0
 }
 
-func (h *host) Send(id uint64, backend uint32, _ policy.Time) {
+func (h *host) Send(id uint64, backend uint32, _ policy.Time) (waiting bool) {
 	fmt.Printf("request %d goes to backend %d\n", id, backend)
+	return false
 }
 
 func (h *host) Reject(id uint64, after policy.Time) {
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -41,12 +41,16 @@
 }
 
 // recorder is an Actions that records the calls.
-type recorder struct{ performed []action }
+type recorder struct {
+	performed    []action
+	noConnection uint32 // the backend to which none is at hand: attempts wait for one
+}
 
 func (r *recorder) record(a action) { r.performed = append(r.performed, a) }
 
-func (r *recorder) Send(id uint64, backend uint32, until Time) {
+func (r *recorder) Send(id uint64, backend uint32, until Time) (waiting bool) {
 	r.record(action{kind: sendAction, request: id, backend: backend, at: until})
+	return backend == r.noConnection
 }
 
 func (r *recorder) Reject(id uint64, after Time) {
@@ -119,11 +123,11 @@
 // discardActions is an Actions for benchmarks, which records nothing that happens for each request.
 type discardActions struct{ Actions }
 
-func (discardActions) Send(uint64, uint32, Time) {}
-func (discardActions) Reject(uint64, Time)       {}
-func (discardActions) SetTimer(Time, uint32)     {}
-func (discardActions) SendGossip(int, []byte)    {}
-func (discardActions) Log(string)                {}
+func (discardActions) Send(uint64, uint32, Time) (waiting bool) { return false }
+func (discardActions) Reject(uint64, Time)                      {}
+func (discardActions) SetTimer(Time, uint32)                    {}
+func (discardActions) SendGossip(int, []byte)                   {}
+func (discardActions) Log(string)                               {}
 
 // testSettings have three classes (idempotent, not idempotent, idempotent with a key per cell) and
 // three plans (whose overage does not pay, whose overage pays, the same with a ceiling).
--- a/policy/ownership.go
+++ b/policy/ownership.go
@@ -37,7 +37,7 @@
 func (g *Controller) PredecessorSent(now Time, id uint64, backend uint32) {
 	g.advanceClock(now)
 	if request := g.predecessorRequests[id]; request != nil {
-		g.recordSend(request, g.unlistedBackend(backend))
+		g.chargeSlowStart(g.recordSend(request, g.unlistedBackend(backend)), false)
 	}
 }
 
--- a/policy/recorded_play_test.go
+++ b/policy/recorded_play_test.go
@@ -78,7 +78,7 @@
 			h.RequestCancelled(h.at, id)
 			continue
 		}
-		maySend := h.MaySend(h.at, id, len(request.attempts)-1)
+		maySend := h.ConfirmSend(h.at, id, len(request.attempts)-1)
 		p.transcript = append(p.transcript, fmt.Sprintf("%d holds %d %t", gateway, id, maySend))
 		result := Result(max(0, p.draw.IntN(20)-12))
 		h.endWith(id, Outcome{
--- a/policy/request.go
+++ b/policy/request.go
@@ -28,6 +28,7 @@
 	overdue         bool // pending for longer than the latency objective
 	overlappedStall bool // this gateway was stalled while it was pending: its latency means nothing
 	mayHaveRun      bool // false once an outcome has proved that it did not run
+	slowStart       slowStartCharge
 }
 
 // provesNotRun reports whether a request did not run at the backend.
@@ -62,7 +63,7 @@
 }
 
 // recordSend adds an attempt to a request and to the load of its backend and its customer.
-func (g *Controller) recordSend(request *request, backend *backend) {
+func (g *Controller) recordSend(request *request, backend *backend) *attempt {
 	attempt := &attempt{backend: backend, sentAt: g.now, pending: true, mayHaveRun: true}
 	request.attempts = append(request.attempts, attempt)
 	g.withinObjective[request.Class] = append(g.withinObjective[request.Class], attempt)
@@ -71,11 +72,7 @@
 	}
 	backend.inFlight++
 	request.customer.inFlight++
-	if g.slowStartShare(backend) < 1 {
-		backend.slowStartBucket.level--
-		backend.slowStartAttempts++
-		g.counters.slowStartAttempts++
-	}
+	return attempt
 }
 
 // markOverdue marks the pending attempts of a class that are older than the given age.
--- a/policy/simulation_actors_test.go
+++ b/policy/simulation_actors_test.go
@@ -78,7 +78,7 @@
 	})
 }
 
-func (n *simulatedGateway) Send(id uint64, backend uint32, until Time) {
+func (n *simulatedGateway) Send(id uint64, backend uint32, until Time) (waiting bool) {
 	s := n.simulation
 	n.decided = true
 	if until == 0 || until > n.deadlines[id] {
@@ -102,6 +102,7 @@
 			Answered: result == ResultOK || s.now >= n.deadlines[id],
 		})
 	})
+	return false
 }
 
 func (n *simulatedGateway) Reject(_ uint64, after Time)            { n.decided = n.decided || after > 0 }
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -67,7 +67,68 @@
 	if overflow := bucket.refill(g.now); saved < 1 && overflow > 0 {
 		bucket.level = saved + math.Mod(overflow, 1)
 	}
-	return bucket.level >= 1
+	return bucket.level-float64(backend.slowStartWaiting) >= 1
+}
+
+// slowStartCharge says what an attempt has taken of its backend's slow start.
+type slowStartCharge uint8
+
+const (
+	slowStartNotCharged slowStartCharge = iota // it has been sent to a warm backend
+	slowStartHeld                              // it waits for a connection, and one attempt is held for it
+	slowStartCharged                           // it has been written
+)
+
+// chargeSlowStart takes an attempt from the bucket of a backend in slow start. One that waits for a
+// connection is taken as it is written, and held until then: connections that come up late may do so all
+// at once.
+func (g *Controller) chargeSlowStart(attempt *attempt, waiting bool) {
+	backend := attempt.backend
+	if g.slowStartShare(backend) == 1 {
+		return
+	}
+	if waiting {
+		attempt.slowStart = slowStartHeld
+		backend.slowStartWaiting++
+		return
+	}
+	attempt.slowStart = slowStartCharged
+	backend.slowStartBucket.level--
+	backend.slowStartAttempts++
+	g.counters.slowStartAttempts++
+}
+
+// chargeWaiting takes a waiting attempt from the bucket if the backend is in slow start, and reports whether
+// there was one to take. The backend may have been warm when it was chosen.
+func (g *Controller) chargeWaiting(attempt *attempt) bool {
+	attempt.releaseHeld()
+	if !g.slowStartAllows(attempt.backend) {
+		g.counters.slowStartDenied++
+		return false
+	}
+	g.chargeSlowStart(attempt, false)
+	return true
+}
+
+// releaseSlowStart gives back what an attempt has taken and not used.
+func (g *Controller) releaseSlowStart(attempt *attempt, result Result) {
+	attempt.releaseHeld()
+	backend := attempt.backend
+	if result != ResultNotSent || attempt.slowStart != slowStartCharged {
+		return
+	}
+	attempt.slowStart = slowStartNotCharged
+	if attempt.sentAt >= backend.startedAt { // of the same slow start
+		backend.slowStartBucket.level++ // at most to its capacity, with the next refill
+	}
+}
+
+// releaseHeld gives back what is held for a waiting attempt.
+func (a *attempt) releaseHeld() {
+	if a.slowStart == slowStartHeld {
+		a.slowStart = slowStartNotCharged
+		a.backend.slowStartWaiting--
+	}
 }
 
 // isWarm reports whether a backend shows what a warm one serves this gateway.
--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -77,6 +77,96 @@
 	}
 }
 
+// waitingFor are the requests with an attempt that waits for a connection to a backend, oldest first.
+func (h *harness) waitingFor(backend uint32) []uint64 {
+	var ids []uint64
+	for id, request := range h.requests {
+		attempt := h.lastAttempt(id)
+		if attempt.pending && attempt.backend.ID == backend && !request.answered {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Connections that come up late do so all at once: what was chosen over seconds is not written in a moment.
+func TestWaitingAttemptsAreChargedToSlowStartAsTheyAreWritten(t *testing.T) {
+	settings := testSettings()
+	settings.OverloadFactor, settings.OverloadWindow, settings.SlowStartFloor = 2.5, 2*second, 0.25
+	h := newHarness(t, settings)
+	h.serveFor(8)
+	h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 4, Cell: 1, StartedAt: h.at}})
+	h.noConnection = 4
+	var open []uint64 // at the warm backends, which take so long that the starting one is preferred
+	for range 400 {
+		h.at += second / 100
+		h.TimerFired(h.at, gossipTimer)
+		if id, sent := h.request(0, 1, 1, 1); sent && h.lastAttempt(id).backend.ID != 4 {
+			open = append(open, id)
+		}
+		for len(open) > 0 && h.at-h.lastAttempt(open[0]).sentAt >= second/4 {
+			h.end(open[0], ResultOK, true)
+			open = open[1:]
+		}
+	}
+	waiting := h.waitingFor(4)
+	capacity := h.backendsByID[4].slowStartBucket.capacity
+	written := 0.0
+	for _, id := range waiting {
+		written += indicator(h.ConfirmSend(h.at, id, len(h.requests[id].attempts)-1))
+	}
+	h.noConnection = 0
+	for range 20 { // at the same moment
+		id, sent := h.request(0, 1, 1, 1)
+		if sent && h.lastAttempt(id).backend.ID == 4 {
+			written++
+		}
+	}
+	if written == 0 || written > capacity {
+		t.Errorf("%g attempts written at one moment, want 1 to %g", written, capacity)
+	}
+}
+
+// An attempt was chosen while its backend was warm and waits for a connection; the backend restarts.
+func TestAttemptThatWaitedIsNotWrittenUnchargedToARestartedBackend(t *testing.T) {
+	h := newHarness(t, slowStartSettings())
+	h.UpdateEndpoints(h.at, UpdateComplete, endpoints(1))
+	h.noConnection = 1
+	id, _ := h.request(0, 0, 9, 1)
+	h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 1, Cell: 1, StartedAt: h.at}})
+	if h.ConfirmSend(h.at, id, 0) {
+		t.Error("written, though the slow start has saved up no attempt yet")
+	}
+	h.backendsByID[1].slowStartBucket.level = 1
+	if !h.ConfirmSend(h.at, id, 0) {
+		t.Fatal("not written, though the slow start has an attempt left")
+	}
+	if level := h.backendsByID[1].slowStartBucket.level; level >= 1 {
+		t.Errorf("%g attempts left after one was written", level)
+	}
+}
+
+// What was held or charged for an attempt that was not written is given back.
+func TestAttemptThatIsNotSentGivesItsSlowStartBack(t *testing.T) {
+	for _, noConnection := range []uint32{0, 1} {
+		h := newHarness(t, slowStartSettings())
+		h.UpdateEndpoints(h.at, UpdateComplete, endpoints(1))
+		h.UpdateEndpoints(h.at, UpdateIncremental, []Endpoint{{ID: 1, Cell: 1, StartedAt: h.at}})
+		backend := h.backendsByID[1]
+		backend.slowStartBucket.level, h.noConnection = 1, noConnection
+		id, sent := h.request(0, 0, 9, 1)
+		if !sent || h.slowStartAllows(backend) {
+			t.Fatalf("sent %t, and another is allowed", sent)
+		}
+		h.end(id, ResultNotSent, true)
+		if !h.slowStartAllows(backend) || backend.slowStartWaiting != 0 {
+			t.Errorf("level %g, %d held after the attempt was not sent",
+				backend.slowStartBucket.level, backend.slowStartWaiting)
+		}
+	}
+}
+
 // Guards against starting backends that are idle while the few warm ones are overloaded: what many
 // gateways save up for one is used at once, and all together stay within what it bears.
 func TestBackendsInSlowStartStayWithinTheFleetsBudget(t *testing.T) {
--- a/scale/internal/simulated/gateway.go
+++ b/scale/internal/simulated/gateway.go
@@ -77,7 +77,7 @@
 }
 
 // Send has an attempt answered after the service time.
-func (g *gateway) Send(id uint64, backend uint32, _ policy.Time) {
+func (g *gateway) Send(id uint64, backend uint32, _ policy.Time) (waiting bool) {
 	r, tier := g.open[id], g.worker.tier
 	attempt := r.attempts
 	if attempt == 0 && r.customer.Capped {
@@ -93,6 +93,7 @@
 			Latency: g.worker.serviceTime, Answered: true,
 		})
 	})
+	return false
 }
 
 // forgetIfIdle removes a request that is answered once none of its attempts is in flight.
