Hand over the age of a client's connection, not its opening by the wall clock

Cause: of the class of the stepped clock (read, then forced): a connection that had sent no command was handed over with the wall clock's time of its opening. A successor an hour ahead closed it at once, one behind kept it for an hour where 3 s are owed. Change: the message states the age as well; an older predecessor's absolute time counts only where it can be. Measured: TestAgeOfAConnectionOutlastsASteppedClock, recorded messages unchanged, tests of the handover green.

--- a/cmd/gateway/fleet_catalog_test.go
+++ b/cmd/gateway/fleet_catalog_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 )
 
 // fleetCatalog is a discovery service that all gateways of a fleet watch. It is safe for concurrent use.
@@ -26,9 +27,12 @@
 	c.changed = make(chan struct{})
 }
 
-// ServeHTTP answers with the complete list, a watch once there is a newer one than it knows.
+// ServeHTTP answers with the complete list, a watch once there is a newer one than it knows or it has waited
+// for as long as it asked.
 func (c *fleetCatalog) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	index, err := strconv.Atoi(r.URL.Query().Get("index"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait")) // 0: it does not wait
+	waited := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		c.mu.Lock()
 		body, changed, newer := endpointList(c.revision, c.entries), c.changed, c.revision > index
@@ -38,6 +42,8 @@
 			return
 		}
 		select {
+		case <-waited:
+			index = -1 // whatever there is
 		case <-changed:
 		case <-r.Context().Done():
 			return
--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -192,5 +193,14 @@
 	}
 }
 
+// countLogged counts how often the logs of the gateways' processes say something.
+func (f *fleet) countLogged(text string) int {
+	count := 0
+	for _, p := range f.gateways {
+		count += strings.Count(p.logText(), text)
+	}
+	return count
+}
+
 // runFor lets the fleet work for a time. Nothing is waited for: load and slow start are rates.
 func (f *fleet) runFor(period time.Duration) { time.Sleep(period) }
--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -241,6 +243,15 @@
 	return response.StatusCode, err
 }
 
+// limitDescriptors sets how many descriptors the process may open, and returns the limit before.
+func (p *gatewayProcess) limitDescriptors(tb testing.TB, limit unix.Rlimit) (before unix.Rlimit) {
+	tb.Helper()
+	if err := unix.Prlimit(p.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, &before); err != nil {
+		tb.Error(err)
+	}
+	return before
+}
+
 // openDescriptors counts the descriptors that the process holds.
 func (p *gatewayProcess) openDescriptors() int {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
--- a/cmd/gateway/slowstart_fleet_test.go
+++ b/cmd/gateway/slowstart_fleet_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // slowStartRun is a run of a fleet in which backends start while something else goes wrong.
@@ -173,6 +175,28 @@
 	f.restartBackends()
 }
 
+// exhaustDescriptors has no gateway open another descriptor for a while. No backend may be blamed for it.
+func exhaustDescriptors(f *fleet) {
+	f.replaceBackends()
+	f.runFor(time.Second)
+	before := f.countLogged(" ejected: ")
+	limit := unix.Rlimit{}
+	for _, p := range f.gateways {
+		limit = p.limitDescriptors(f.tb, unix.Rlimit{Cur: 3, Max: 1024})
+	}
+	f.runFor(2 * time.Second)
+	for _, p := range f.gateways {
+		p.limitDescriptors(f.tb, limit)
+	}
+	f.runFor(time.Second)
+	if n := f.countLogged("own_shortage"); n == 0 {
+		f.tb.Error("no dial failed for a shortage")
+	}
+	if n := f.countLogged(" ejected: "); n != before {
+		f.tb.Errorf("%d ejections, %d before the shortage", n, before)
+	}
+}
+
 func fragileAndSlowDials(s *fleetSettings) {
 	fragile(s)
 	slowDials(s)
@@ -203,6 +227,7 @@
 		{name: "gateways stop and go on", settings: fragile, fault: stopAndContinue},
 		{name: "gateways are killed", settings: fragile, fault: killGateways},
 		{name: "gateways are upgraded", settings: fragile, fault: upgradeGateways},
+		{name: "gateways run out of descriptors", settings: fragile, fault: exhaustDescriptors},
 		{name: "connections come up late", settings: fragileAndSlowDials, fault: connectLate},
 		{name: "start amid dials", settings: fragileAndSlowDials, fault: hangThenRestart},
 	})
--- a/internal/gateway/handover_clients.go
+++ b/internal/gateway/handover_clients.go
@@ -59,7 +59,9 @@
 	conn, input := c.conn, c.handoverInput
 	c.handoverInput = nil
 	l.warnOfHandover(l.handover.link.SendClient(
-		handover.ClientConnection{Requests: c.commands, OpenedAt: c.openedAt},
+		handover.ClientConnection{
+			Requests: c.commands, OpenedAt: c.openedAt, Age: max(time.Microsecond, time.Since(c.openedAt)),
+		},
 		input,
 		c.writer.RawConn(),
 		func() { _ = conn.Close() }, // the successor has a descriptor of its own, or the connection ends here
--- a/internal/gateway/handover_in.go
+++ b/internal/gateway/handover_in.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"sparspread/internal/handover"
 	"sparspread/policy"
 )
@@ -65,7 +67,7 @@
 	}
 	clientConnected{
 		conn:           e.client.Conn,
-		openedAt:       e.client.OpenedAt,
+		openedAt:       e.client.OpenedBefore(time.Now()),
 		commands:       e.client.Requests,
 		inheritedInput: e.client.Input,
 	}.handle(l)
--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -34,8 +34,25 @@
 
 // ClientConnection is what is known of a client's connection, sent with its socket.
 type ClientConnection struct {
-	Requests int // well-formed commands received so far
-	OpenedAt time.Time
+	Requests int           // well-formed commands received so far
+	OpenedAt time.Time     // by the sender's wall clock
+	Age      time.Duration // since then, when it was sent; 0: the sender's version does not state it
+}
+
+// maxSilentAge is how old a connection can be that has sent no complete command: older ones were closed.
+const maxSilentAge = 5 * time.Second
+
+// OpenedBefore is when the connection was opened, by the clock of now. The wall clocks of the two processes
+// may differ: where the age is not stated, one that can't be is taken for none.
+func (c *ClientConnection) OpenedBefore(now time.Time) time.Time {
+	age := c.Age
+	if age == 0 {
+		age = now.Sub(c.OpenedAt)
+		if age < 0 || c.Requests == 0 && age > maxSilentAge {
+			age = 0
+		}
+	}
+	return now.Add(-age)
 }
 
 // AttemptSent is a further attempt of a request that stayed with the predecessor.
@@ -72,7 +89,8 @@
 // passedClient is the encoded form of ClientConnection; frozen.
 type passedClient struct {
 	Asked  int
-	Opened int64 // microseconds since 1970
+	Opened int64 // microseconds since 1970, by the writer's clock
+	Age    int64 `json:",omitempty"` // microseconds; absent in older versions
 }
 
 // sentElsewhere is the encoded form of AttemptSent; frozen.
@@ -142,7 +160,9 @@
 
 // EncodeClientConnection encodes the message that is sent with a client's socket.
 func EncodeClientConnection(c ClientConnection) ([]byte, error) {
-	return encodeMessage(passedClient{Asked: c.Requests, Opened: c.OpenedAt.UnixMicro()})
+	return encodeMessage(passedClient{
+		Asked: c.Requests, Opened: c.OpenedAt.UnixMicro(), Age: c.Age.Microseconds(),
+	})
 }
 
 // DecodeClientConnection decodes the message that is sent with a client's socket.
@@ -151,7 +171,10 @@
 	if err := decodeMessage(b, &form); err != nil {
 		return ClientConnection{}, err
 	}
-	return ClientConnection{Requests: form.Asked, OpenedAt: time.UnixMicro(form.Opened)}, nil
+	return ClientConnection{
+		Requests: form.Asked, OpenedAt: time.UnixMicro(form.Opened),
+		Age: time.Duration(form.Age) * time.Microsecond,
+	}, nil
 }
 
 // EncodeAttemptSent encodes the report of a further attempt.
--- a/internal/handover/codec_test.go
+++ b/internal/handover/codec_test.go
@@ -184,6 +184,38 @@
 	}
 }
 
+// The age of a connection does not depend on the wall clocks of the two processes.
+func TestAgeOfAConnectionOutlastsASteppedClock(t *testing.T) {
+	now := time.Now()
+	ahead, behind := now.Add(-time.Hour), now.Add(time.Hour) // as a clock that was stepped reads an opening
+	for _, c := range []struct {
+		name string
+		sent ClientConnection
+		want time.Duration
+	}{
+		{"stated, an hour behind", ClientConnection{OpenedAt: behind, Age: time.Second}, time.Second},
+		{"stated, an hour ahead", ClientConnection{OpenedAt: ahead, Age: time.Second}, time.Second},
+		{"older version", ClientConnection{OpenedAt: now.Add(-time.Second)}, time.Second},
+		{"older version, an hour behind", ClientConnection{OpenedAt: behind, Requests: 1}, 0},
+		{"older version, an hour ahead", ClientConnection{OpenedAt: ahead}, 0},
+		{"older version, long in use", ClientConnection{OpenedAt: ahead, Requests: 1}, time.Hour},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raw, err := EncodeClientConnection(c.sent)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := DecodeClientConnection(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if age := now.Sub(got.OpenedBefore(now)); age < c.want || age > c.want+time.Millisecond {
+				t.Errorf("age %v, want %v", age, c.want)
+			}
+		})
+	}
+}
+
 func TestRecordedMessagesAreReadAndWritten(t *testing.T) {
 	for _, c := range []struct {
 		file  string
--- a/internal/handover/olderform/forms.go
+++ b/internal/handover/olderform/forms.go
@@ -143,10 +143,25 @@
 	return s, nil
 }
 
-// DecodeMessage reads the body of a message into one of the forms. A field that the form lacks is an error.
+// addedLater are the fields that messages have got since, which the older program passes over.
+var addedLater = []string{"Age"}
+
+// DecodeMessage reads the body of a message into one of the forms. A field that the form lacks is an error,
+// unless it is known to have been added: it may be a renamed one.
 func DecodeMessage[T any](body []byte) (T, error) {
 	var form T
-	decoder := json.NewDecoder(bytes.NewReader(body))
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return form, fmt.Errorf("olderform: decode a message: %w", err)
+	}
+	for _, name := range addedLater {
+		delete(fields, name)
+	}
+	known, err := json.Marshal(fields)
+	if err != nil {
+		return form, fmt.Errorf("olderform: decode a message: %w", err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(known))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&form); err != nil {
 		return form, fmt.Errorf("olderform: decode a message: %w", err)
