Take a stamp that a restarting gateway did not know for a start now

Cause: of the class of the stepped clock. A gateway that was killed amid a slow start had only the stamp to go by: with its clock ahead it took the starting backend for warm. Change: what the list in the configuration does not know has started since; where most of the list is unknown, that list is out of date and the stamps count, so that no warm fleet is held cold.

--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -25,7 +25,8 @@
 	backends []*fleetBackend
 	// clockStep is how far discovery's wall clock is ahead of that which the gateways read at their start.
 	clockStep time.Duration
-	removed   map[int]bool // backends that discovery lists no more
+	known     json.RawMessage // the list that gateways have at their start; nil: none
+	removed   map[int]bool    // backends that discovery lists no more
 	answers   fleetAnswers
 	stop      chan struct{} // closed when the clients are to end
 	clients   sync.WaitGroup
@@ -86,6 +87,9 @@
 			peers = append(peers, host+gossipPort)
 		}
 		fields["name"], fields["discovery"], fields["peers"] = fmt.Sprint("n", number), f.address, peers
+		if f.known != nil {
+			fields["known"] = f.known
+		}
 		fields["seed"] = fmt.Sprintf("%016x", rand.Uint64())
 		settings := map[string]any{}
 		if err := json.Unmarshal([]byte(settingsText), &settings); err != nil {
@@ -108,6 +112,13 @@
 	}
 }
 
+// keepList has gateways that start from now on know the list as it is now.
+func (f *fleet) keepList() {
+	f.catalog.mu.Lock()
+	defer f.catalog.mu.Unlock()
+	f.known = endpointList(f.catalog.revision, f.catalog.entries)
+}
+
 // publish has discovery list the backends as they are.
 func (f *fleet) publish() {
 	var entries []string
--- a/cmd/gateway/slowstart_fleet_test.go
+++ b/cmd/gateway/slowstart_fleet_test.go
@@ -152,6 +152,15 @@
 	f.replaceGateways()
 }
 
+// killWithClockStep does the same amid a step, with the list from before the start as last known.
+func killWithClockStep(step time.Duration) func(f *fleet) {
+	return func(f *fleet) {
+		f.keepList()
+		f.clockStep = step
+		killGateways(f)
+	}
+}
+
 // upgradeGateways has second processes take over during the slow start.
 func upgradeGateways(f *fleet) {
 	f.replaceBackends()
@@ -253,6 +262,7 @@
 		{name: "hour back", settings: fragile, fault: withClockStep(-time.Hour)},
 		{name: "8 s back", settings: fragile, fault: withClockStep(-8 * time.Second)},
 		{name: "5 s ahead", settings: fragile, fault: withClockStep(5 * time.Second)},
+		{name: "hour back, gateways are killed", settings: fragile, fault: killWithClockStep(-time.Hour)},
 		{name: "hour ahead", settings: fragile, fault: withClockStep(time.Hour)},
 	})
 }
--- a/policy/backendstart.go
+++ b/policy/backendstart.go
@@ -30,15 +30,15 @@
 	at        Time // when it was forgotten otherwise
 }
 
-// noteStart begins a slow start if an endpoint's stamp tells of a start that was not known. Stamps of
-// starts before come back with stale lists and tell nothing.
-func (g *Controller) noteStart(backend *backend, stamp Time) {
+// noteStart begins a slow start if an endpoint's stamp tells of a start that was not known: one that was seen
+// to happen, or one of long ago. Stamps of starts before come back with stale lists and tell nothing.
+func (g *Controller) noteStart(backend *backend, stamp Time, seen bool) {
 	if stamp == 0 || backend.stamps.contains(stamp) {
 		return
 	}
 	backend.stamps.add(stamp)
 	backend.latencyRatio, backend.errorRate = 0, 0
-	if g.discovery.listed {
+	if seen {
 		// The start was seen to happen: from here on it is timed by this gateway's own clock. What the stamp
 		// says of its age may be off by as much as a clock was stepped.
 		g.beginSlowStart(backend, g.now, "its start was announced")
@@ -48,6 +48,23 @@
 	g.beginSlowStart(backend, min(stamp, g.now), "listed as this gateway started")
 }
 
+// seesStarts reports whether the unknown stamps of a list are starts since the last list that this gateway
+// had. As it starts that is the one which its configuration knows, if any: one of which most stamps are out
+// of date is too old to tell.
+func (g *Controller) seesStarts(kind UpdateKind, list []Endpoint) bool {
+	if g.discovery.listed || kind == UpdateStale {
+		return g.discovery.listed
+	}
+	unknown := 0
+	for _, endpoint := range list {
+		backend := g.backendsByID[endpoint.ID]
+		if endpoint.StartedAt != 0 && (backend == nil || !backend.stamps.contains(endpoint.StartedAt)) {
+			unknown++
+		}
+	}
+	return len(g.backends) > 0 && 2*unknown <= len(list)
+}
+
 // restoreDeparted gives a backend that is listed again the start that was known of it.
 func (g *Controller) restoreDeparted(backend *backend) {
 	departed, ok := g.departed[backend.ID]
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -69,8 +69,9 @@
 	for _, backend := range g.backends {
 		backend.listed = backend.listed && kind == UpdateIncremental
 	}
+	seesStarts := g.seesStarts(kind, list)
 	for _, endpoint := range list {
-		g.updateEndpoint(endpoint)
+		g.updateEndpoint(endpoint, seesStarts)
 	}
 	g.discovery.listed = g.discovery.listed || kind != UpdateStale
 	g.pruneBackends()
@@ -78,10 +79,10 @@
 }
 
 // updateEndpoint applies one entry of the list. A backend that has restarted begins a slow start.
-func (g *Controller) updateEndpoint(endpoint Endpoint) {
+func (g *Controller) updateEndpoint(endpoint Endpoint, seesStarts bool) {
 	backend := g.backendRecord(endpoint)
 	backend.Endpoint, backend.listed = endpoint, endpoint.State != EndpointRemoved
-	g.noteStart(backend, endpoint.StartedAt)
+	g.noteStart(backend, endpoint.StartedAt, seesStarts)
 }
 
 // backendRecord returns the record of an endpoint. It makes a missing one.
--- a/policy/stepped_clock_test.go
+++ b/policy/stepped_clock_test.go
@@ -64,6 +64,38 @@
 	assertNear(t, "share at the end", h.slowStartShare(h.backendsByID[1]), 1)
 }
 
+// A gateway that restarts has the list that it had last: what is not in it has started since, whatever the
+// clocks say. A list that is out of date in most places tells nothing, and the stamps count.
+func TestStartSinceTheKnownListIsAStartNowWithSteppedClock(t *testing.T) {
+	forEachStep(t, func(t *testing.T, step Time) {
+		t.Helper()
+		settings := slowStartSettings()
+		for _, restarted := range []int{0, 2, 3} {
+			h := newUnstartedHarness(t, settings, 1, steppedStart)
+			list := endpoints(4)
+			for i := range list {
+				list[i].StartedAt = steppedStart - 7200*second
+			}
+			h.UpdateEndpoints(h.at, UpdateStale, list)
+			for i := range restarted {
+				list[i].StartedAt = steppedStart - step - second
+			}
+			h.UpdateEndpoints(h.at, UpdateComplete, list)
+			want := settings.SlowStartFloor
+			if restarted == 3 {
+				age := max(0, float64(step+second)/float64(settings.SlowStartTime))
+				want = min(1, want+(1-want)*age)
+			}
+			for i := range list {
+				if i >= restarted {
+					want = 1
+				}
+				assertNear(t, "share", h.slowStartShare(h.backendsByID[list[i].ID]), want)
+			}
+		}
+	})
+}
+
 // Lists from before a start, and backends that are missing from a list for a while, begin no slow start.
 func TestKnownStampsBeginNoSlowStart(t *testing.T) {
 	settings := slowStartSettings()
