Take rejections by full backends for late answers, not for answers on time

A BUSY comes within milliseconds and was counted as an answer on time, from which the concurrency limit derives its capacity: while backends were full the limit rose, retries met further full backends, and the answers that pace slow starts fell.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -65,7 +65,9 @@
 func (g *Controller) settleAttempt(request *request, attempt *attempt, outcome *Outcome) {
 	attempt.release(request.customer)
 	g.releaseSlowStart(attempt, outcome.Result)
-	late := outcome.Latency > g.settings.Classes[request.Class].LatencyObjective
+	// A backend that rejects is full: however soon it says so, that is no answer on time.
+	objective := g.settings.Classes[request.Class].LatencyObjective
+	late := outcome.Latency > objective || outcome.Result == ResultOverloaded
 	answered := outcome.Result == ResultOK || outcome.Result == ResultOverloaded
 	if !attempt.overlappedStall && (answered || outcome.Result == ResultTimedOut && late) {
 		g.load.lateShare.add(indicator(late), sampleWeight)
--- a/policy/concurrency_test.go
+++ b/policy/concurrency_test.go
@@ -100,3 +100,30 @@
 		t.Errorf("one more than %d was sent though no answer shows more capacity", least)
 	}
 }
+
+// Rejections by full backends come at once. Taken for answers on time they raised the capacity, and with it the
+// load on the backends that were full.
+func TestRejectionsByBackendsRaiseNoCapacity(t *testing.T) {
+	h := newHarness(t, testSettings())
+	step := func(result Result, answered bool) {
+		h.at += second / 100
+		h.TimerFired(h.at, gossipTimer)
+		id, sent := h.request(0, 1, 1, 1)
+		for sent && h.requests[id] != nil {
+			h.end(id, result, answered)
+		}
+	}
+	for range 100 {
+		step(ResultOK, true)
+	}
+	before, lateBefore := h.loadView().onTimeRate, h.load.lateShare.value
+	for range 50 {
+		step(ResultOverloaded, false)
+	}
+	if after := h.loadView().onTimeRate; after >= before {
+		t.Errorf("%g answers on time a second after rejections alone, %g before", after, before)
+	}
+	if after := h.load.lateShare.value; after <= lateBefore {
+		t.Errorf("late share %g after rejections alone, %g before", after, lateBefore)
+	}
+}
