--- a/policy/concurrency_test.go
+++ b/policy/concurrency_test.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// Rejections by full backends come at once. Taken for answers on time they raised the capacity, and with it the
-// load on the backends that were full.
+// Rejections by full backends come at once. Taken for answers on time they raised the capacity, and with it
+// the load on the backends that were full.
 func TestRejectionsByBackendsRaiseNoCapacity(t *testing.T) {
 	h := newHarness(t, testSettings())
 	step := func(result Result, answered bool) {
