Show that a planned restart loses the request behind a slow one

A client completes a booking 0.6 s after SIGTERM and sends another one with it. The first is served, then the connection is closed without the second answer.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,7 +26,8 @@
 
 // cases maps the name of each case to its function, which returns what broke the rule, or "" if it held.
 var cases = map[string]func(*rig) (broken string){
-	"handover-order": playHandoverOrder,
+	"handover-order":  playHandoverOrder,
+	"shutdown-second": playShutdownSecond,
 }
 
 func main() {
