--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(*rig) (broken string){
 	"handover-order":  playHandoverOrder,
 	"shutdown-second": playShutdownSecond,
+	"departed-client": playDepartedClient,
 }
 
 func main() {
