Show that a client that pauses before it reads loses its requests

150 reads with values of 60 KiB are sent on one connection, and the client begins to read a second later. The gateway resets the connection after 0.4 s.

--- a/review/rig/ceiling.go
+++ b/review/rig/ceiling.go
@@ -68,7 +68,7 @@
 	t := &tier{world: w, units: map[string]float64{}}
 	var peers []string
 	for range gateways {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		conn, err := net.ListenPacket("udp", w.rig.host+":0")
 		w.rig.require(err, "free port")
 		peers = append(peers, conn.LocalAddr().String())
 		_ = conn.Close()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,8 +31,10 @@
 	"departed-client": playDepartedClient,
 
 	// Shown, but not among the three cases; see REPORT.md.
-	"slow-reader": playSlowReader,
-	"ceiling":     playCeiling,
+	"slow-reader":       playSlowReader,
+	"ceiling":           playCeiling,
+	"stopped-successor": playStoppedSuccessor,
+	"slow-value":        playSlowValue,
 }
 
 func main() {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -18,6 +18,7 @@
 // rig holds the processes, the stand-ins and the record of one play.
 type rig struct {
 	trouble    bool
+	host       string // a loopback address of this play, so that its ports are free
 	repository string
 	folder     string // temporary; also the gateways' TMPDIR
 	runCommand string // the value of run in deploy/balancer.toml
@@ -41,8 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
+	pid := os.Getpid()
 	return &rig{
-		trouble: os.Getenv("TROUBLE") != "0", repository: repository, folder: folder,
+		trouble: os.Getenv("TROUBLE") != "0", host: fmt.Sprintf("127.%d.%d.%d", 64+pid>>14%64, pid>>7%128, 1+pid%128), repository: repository, folder: folder,
 		runCommand: string(run[1]), recordFile: file, startedAt: time.Now(),
 	}, nil
 }
@@ -65,7 +67,7 @@
 
 // freeAddress returns a loopback address with a port that is free now.
 func (r *rig) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", r.host+":0")
 	r.require(err, "free port")
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
--- a/review/rig/slow_reader.go
+++ b/review/rig/slow_reader.go
@@ -1,73 +1,68 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"time"
 )
 
-// playSlowReader lets a client send many requests at once, whose values are of 60 KiB, and read the answers slowly.
+// playSlowReader lets a client send many requests on one connection, whose values are of 60 KiB, and begin to read the
+// answers a second later.
 func playSlowReader(r *rig) (broken string) {
 	const (
-		customers  = 8
-		count      = 150
-		valueSize  = 60 << 10
-		pause      = 3 * time.Millisecond // between two requests
-		bytesPerMS = 3 << 10              // the rate of the slow client: all answers take 3 s
-		timeout    = 4 * time.Second
+		customers = 8
+		count     = 150
+		valueSize = 60 << 10
+		gap       = 3 * time.Millisecond // between two requests
+		pause     = time.Second
+		timeout   = 4 * time.Second // d of each request
 	)
 	w := newWorld(r, 16, 100*time.Millisecond, valueSize)
 	w.start()
 	w.startGateway("only")
 	c := w.dialClient()
-	if r.trouble {
-		c.in = bufio.NewReaderSize(&slowReader{conn: c.conn, bytesPerMS: bytesPerMS}, 4<<10)
-	}
-	sentAt := make([]time.Time, count)
+	var sentAt [count]time.Time
+	written := make(chan struct{})
 	go func() {
+		defer close(written)
 		for i := range count {
 			sentAt[i] = time.Now()
-			if _, err := c.conn.Write(command("API.READ", "track", uint64(i%customers), fmt.Sprintf("%016x", 0xa0+i), 0)); err != nil {
+			id := fmt.Sprintf("%016x", 0xa0+i)
+			if _, err := c.conn.Write(command("API.READ", "track", uint64(i%customers), id, 0)); err != nil {
 				r.record("request %d cannot be written: %v", i, err)
 				return
 			}
-			time.Sleep(pause)
+			time.Sleep(gap)
 		}
 		r.record("client wrote %d requests", count)
 	}()
-	_ = c.conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+	if r.trouble {
+		time.Sleep(pause)
+	}
+	r.record("client begins to read")
+	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
 	counts := map[string]int{}
-	for i := range count {
+	answered := 0
+	for answered < count {
 		a := c.readAnswer()
 		if a.err != nil {
-			late := time.Since(sentAt[i])
-			r.record("request %d, %v after it was written: %v", i, late, a)
-			if late < timeout {
-				broken = fmt.Sprintf("request %d and all after it were never answered: %v", i, a.err)
-			}
+			r.record("after %d answers: %v", answered, a)
 			break
 		}
 		counts[a.outcome]++
+		answered++
 	}
+	<-written
 	r.record("answers: %v", counts)
-	return broken
-}
-
-// slowReader reads from a connection at a constant rate.
-type slowReader struct {
-	conn       net.Conn
-	bytesPerMS int
-	started    time.Time
-	read       int
-}
-
-func (s *slowReader) Read(b []byte) (int, error) {
-	if s.started.IsZero() {
-		s.started = time.Now()
+	lost, ran := 0, 0
+	for i := answered; i < count; i++ {
+		if sentAt[i].IsZero() {
+			break // never written
+		}
+		lost++
+		ran += len(w.runsOf(fmt.Sprintf("%016x", 0xa0+i)))
+	}
+	if lost > 0 && time.Since(sentAt[answered]) < timeout {
+		broken = fmt.Sprintf("%d requests were never answered, though backends have run %d of them", lost, ran)
 	}
-	time.Sleep(time.Until(s.started.Add(time.Duration(s.read/s.bytesPerMS) * time.Millisecond)))
-	n, err := s.conn.Read(b)
-	s.read += n
-	return n, err
+	return broken
 }
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -45,7 +45,7 @@
 func newWorld(r *rig, count int, work time.Duration, valueSize int) *world {
 	w := &world{rig: r, listen: r.freeAddress(), configPath: filepath.Join(r.folder, "config.json"), runs: map[string][]run{}}
 	for i := range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", r.host+":0")
 		r.require(err, "backend")
 		b := &backend{number: i, address: listener.Addr().String(), work: work, valueSize: valueSize}
 		w.backends = append(w.backends, b)
@@ -56,7 +56,7 @@
 
 // start starts discovery with the current backends, and writes the configuration. It returns after both.
 func (w *world) start() {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", w.rig.host+":0")
 	w.rig.require(err, "discovery")
 	w.discovery = listener.Addr().String()
 	go func() { _ = http.Serve(listener, http.HandlerFunc(w.serveDiscovery)) }()
