--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -11,7 +11,10 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 # The rig kills the gateways that it has started before it exits, also if it is terminated.
-timeout 115 "$repository/bin/review-rig" handover-order "$repository" "$folder" "$here/record.txt"
+timeout 115 "$repository/bin/review-rig" handover-order "$repository" "$folder" "$here/record.txt" &
+rig=$!
+trap 'kill "$rig"' INT TERM
+wait "$rig"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
