--- a/review/rig/handover_order.go
+++ b/review/rig/handover_order.go
@@ -21,6 +21,7 @@
 	c := w.dialClient()
 
 	half := len(first) / 2
+	begunAt := time.Now()
 	c.write(r, first[:half])
 	r.record("client wrote the first half of %s, a booking with a body of 200 KiB", ids[0])
 	time.Sleep(pause)
@@ -33,6 +34,9 @@
 	rest = append(rest, command("API.WRITE", "book", customer, ids[1], 40)...)
 	rest = append(rest, command("API.WRITE", "book", customer, ids[2], 100<<10)...)
 	c.write(r, rest)
+	if took := time.Since(begunAt); took > 2*time.Second {
+		panic(notRun{fmt.Sprintf("the client took %v for its first request, longer than 2 s", took)})
+	}
 	r.record("client wrote the rest of it, %s with a body of 40 bytes, and %s with 100 KiB", ids[1], ids[2])
 
 	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
--- a/review/rig/shutdown_second.go
+++ b/review/rig/shutdown_second.go
@@ -21,6 +21,7 @@
 	r.record("answer to %s: %v", ids[0], c.readAnswer())
 	second := command("API.WRITE", "book", customer, ids[1], 40)
 	half := len(second) / 2
+	terminatedAt := time.Now()
 	if r.trouble {
 		r.endPlanned(g)
 	}
@@ -30,6 +31,9 @@
 	time.Sleep(pause)
 	c.write(r, append(second[half:len(second):len(second)], command("API.WRITE", "book", customer, ids[2], 40)...))
 	r.record("client wrote the rest of it, and %s", ids[2])
+	if late := time.Since(terminatedAt); late > 650*time.Millisecond {
+		panic(notRun{fmt.Sprintf("the last request was written %v after SIGTERM; after 0.7 s it could be lost", late)})
+	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(6 * time.Second))
 	for _, id := range ids[1:] {
 		a := c.readAnswer()
