Keep answers in the order of the commands during a handover

Cause: commands for the successor were queued without a place in the client's pipeline. A command that could not be handed over (large body, arguments dropped for lack of memory, no valid command) was answered at once and overtook them. The same held while the state was offered, and after the exit of a successor for the next command of a connection.

Change: each client owns its queue, and every command goes through it during a handover (command_queue.go). The reader stops at the next command once the ownership is released; input that it has received but not parsed follows the connection as bytes, with the head of a command whose large body was not read. Commands in front of one that only this process can answer are refused here, in order. Both keep the order by construction: the pipeline is answered before the connection is handed over. The wire and the handover messages are unchanged; an older successor reads the same bytes. Requests with a large body are no longer rejected in a handover.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -48,8 +48,11 @@
 	commandCount          int        // number of well-formed commands
 	consecutiveErrors     int        // number of malformed commands since the last well-formed one
 	lastCommandAt         policy.Time
-	readerStopped         bool   // the reader has stopped for a handover
-	handoverInput         []byte // input that was read and is for the successor to process
+
+	// Set during a handover.
+	queuedCommands []receivedCommand // to be handled after the handover, in this order; see command_queue.go
+	readerStopped  bool              // the reader has stopped before a command
+	unparsedInput  []byte            // input that the reader had received but not parsed when it stopped
 
 	// Used only by the reader goroutine.
 	inheritedInput   []byte    // read but not processed by a predecessor
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -30,7 +30,7 @@
 	// A connection that is accepted from the backlog during a shutdown gets a reply to one command only.
 	c.closeAfterNextCommand = g.shutdown.isClosing()
 	if g.handover.hasReleasedOwnership() {
-		c.readerStopped, c.handoverInput, c.inheritedInput = true, e.inheritedInput, nil
+		c.readerStopped, c.unparsedInput, c.inheritedInput = true, e.inheritedInput, nil
 		c.handOver(g)
 		return
 	}
--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -68,7 +68,7 @@
 	_ = c.conn.Close() // a failed close needs no handling
 	delete(g.clients.conns, c)
 	<-g.clients.slots
-	c.handoverInput = nil
+	c.discardQueuedCommands(g)
 	now := g.events.Now()
 	for _, r := range c.pipeline {
 		g.cancelRequest(r, now)
--- a/internal/gateway/client_commands.go
+++ b/internal/gateway/client_commands.go
@@ -30,6 +30,10 @@
 type receivedCommand interface {
 	event
 	head() commandHead
+	// process answers the command, or passes its request to the policy.
+	process(*Gateway)
+	// refuse answers the command without the policy. A request is rejected.
+	refuse(*Gateway)
 }
 
 // commandHead is the part that all received commands have in common.
@@ -60,7 +64,7 @@
 	}
 	head.size, head.args = command.Size(args), args
 	if bodySize > 0 {
-		head.body = &body{size: bodySize, destination: make(chan *backendConn, 1)}
+		head.body = &body{size: bodySize, destination: make(chan bodyDestination, 1)}
 	}
 	cfg := g.publishedConfig.Load()
 	if g.memory.inputBytes.Add(int64(head.size)) > maxQueuedBytes(cfg) {
@@ -97,24 +101,30 @@
 	return requestReceived{commandHead: h, request: request, config: cfg}
 }
 
-// dequeue releases the memory that a command takes as queued input, and reports whether to handle the
-// command. A command that arrived while its connection was being closed is not handled: the client sends it
-// again.
-func (h commandHead) dequeue(g *Gateway) bool {
-	c := h.client
-	g.memory.inputBytes.Add(-int64(h.size))
-	if c.closed || c.writeClosed || c.ignoreInput.Load() {
-		h.body.discard()
-		<-c.pipelineSlots
-		return false
+// handleCommand processes a command, or queues it during a handover. A command that arrived while its
+// connection was being closed is discarded: the client sends it again.
+func (g *Gateway) handleCommand(e receivedCommand) {
+	head := e.head()
+	c := head.client
+	switch {
+	case c.closed || c.writeClosed || c.ignoreInput.Load():
+		head.discard(g)
+	case g.handover.isActive():
+		c.queueCommand(g, e)
+	default:
+		head.releaseInput(g)
+		e.process(g)
 	}
-	return true
 }
 
-// isForSuccessor reports whether the successor has to process a command. A command with a large body or with
-// dropped arguments cannot be handed over.
-func (h commandHead) isForSuccessor(g *Gateway) bool {
-	return g.handover.isActive() && h.args != nil && h.body == nil
+// releaseInput releases the memory that a command takes as input that waits for the event loop.
+func (h commandHead) releaseInput(g *Gateway) { g.memory.inputBytes.Add(-int64(h.size)) }
+
+// discard drops a command without an answer.
+func (h commandHead) discard(g *Gateway) {
+	h.releaseInput(g)
+	h.body.discard()
+	<-h.client.pipelineSlots
 }
 
 // appendRequest appends a request for the command to the pipeline of the client. The request of a command
@@ -153,23 +163,18 @@
 	framingLost bool // the start of the next command is unknown
 }
 
-func (e commandAnswered) Handle(g *Gateway) {
-	switch {
-	case !e.dequeue(g):
-	case e.isForSuccessor(g):
-		g.handover.queueCommand(e)
-	default:
-		e.sendReply(g)
-	}
-}
+// Handle implements event.
+func (e commandAnswered) Handle(g *Gateway) { g.handleCommand(e) }
 
-// sendReply sends the reply after the replies to earlier commands.
-func (e commandAnswered) sendReply(g *Gateway) {
+// process sends the reply after the replies to earlier commands.
+func (e commandAnswered) process(g *Gateway) {
 	r := e.appendRequest(g, command.Request{})
 	e.client.countCommand(e.malformed, e.framingLost)
 	g.answer(r, e.reply)
 }
 
+func (e commandAnswered) refuse(g *Gateway) { e.process(g) }
+
 // requestDropped is a request whose arguments were dropped for lack of memory. It is answered with a
 // rejection.
 type requestDropped struct {
@@ -177,11 +182,14 @@
 	clientRequestID uint64
 }
 
-func (e requestDropped) Handle(g *Gateway) {
-	if e.dequeue(g) {
-		r := e.appendRequest(g, command.Request{RequestID: e.clientRequestID})
-		g.tryReject(r, true)
-	}
+// Handle implements event.
+func (e requestDropped) Handle(g *Gateway) { g.handleCommand(e) }
+
+func (e requestDropped) process(g *Gateway) { e.refuse(g) }
+
+func (e requestDropped) refuse(g *Gateway) {
+	r := e.appendRequest(g, command.Request{RequestID: e.clientRequestID})
+	g.tryReject(r, true)
 }
 
 // requestReceived is a valid request from a client.
@@ -191,34 +199,34 @@
 	config  *config.Config // the configuration with which it was parsed
 }
 
-func (e requestReceived) Handle(g *Gateway) {
-	switch {
-	case !e.dequeue(g):
-	case e.isForSuccessor(g):
-		g.handover.queueCommand(e)
-	case e.config != g.config:
-		e.reparseAfterReload(g)
-	default:
-		e.admit(g)
+// Handle implements event.
+func (e requestReceived) Handle(g *Gateway) { g.handleCommand(e) }
+
+func (e requestReceived) process(g *Gateway) {
+	if e.config != g.config {
+		e.parseAgain(g).process(g)
+		return
 	}
+	e.admit(g)
 }
 
-// reparseAfterReload parses a request again whose configuration has been replaced, because the index of its
-// class may have changed. If the class was removed, the request is answered with an error.
-func (e requestReceived) reparseAfterReload(g *Gateway) {
-	switch parsed := e.parse(g.config, e.args).(type) {
-	case requestReceived:
-		parsed.admit(g)
-	case commandAnswered:
-		parsed.sendReply(g)
+func (e requestReceived) refuse(g *Gateway) {
+	if e.config != g.config {
+		e.parseAgain(g).refuse(g)
+		return
 	}
+	r := e.appendRequest(g, e.request)
+	g.tryReject(r, true)
 }
 
-// admit passes a request to the policy unless the gateway itself rejects it. Large bodies cannot be handed
-// over, so a request with one is rejected during a handover.
+// parseAgain parses a request whose configuration was replaced by a reload, because the index of its class
+// may have changed. If the class was removed, the result is an error reply.
+func (e requestReceived) parseAgain(g *Gateway) receivedCommand { return e.parse(g.config, e.args) }
+
+// admit passes a request to the policy unless the gateway itself rejects it.
 func (e requestReceived) admit(g *Gateway) {
 	r := e.appendRequest(g, e.request)
-	if !g.tryReject(r, g.handover.isActive()) {
+	if !g.tryReject(r, false) {
 		g.admitRequest(r, e.request.PolicyRequest, e.receivedAt)
 	}
 }
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"slices"
 	"time"
 
 	"sparspread/internal/resp"
@@ -15,7 +16,7 @@
 	commandTimeout      = 2500 * time.Millisecond
 )
 
-// errHandingOver reports that the connection is to be handed over and no part of a command has arrived.
+// errHandingOver reports that the connection is to be handed over and no command is being read.
 var errHandingOver = errors.New("connection is being handed over")
 
 // readCommands reads commands and posts them until the connection ends, is to be handed over or has lost
@@ -24,32 +25,50 @@
 // connection while requests are open. A client that does not complete a command in time is disconnected.
 // sentValidCommand reports whether the connection has already sent a well-formed command.
 func (c *client) readCommands(g *Gateway, sentValidCommand bool) {
-	defer c.discardReadAhead(g)
 	in := resp.NewReader(c)
 	c.sentValidCommand = sentValidCommand
 	c.commandDeadline = c.openedAt.Add(firstCommandTimeout)
 	if !sentValidCommand {
 		c.setReadDeadline(c.commandDeadline)
 	}
-	for {
-		err := c.awaitCommand(in)
-		if errors.Is(err, errHandingOver) {
-			g.events.Post(clientReaderStopped{client: c})
-			return
-		}
-		if err != nil {
-			c.reportDisconnect(g)
-			return
-		}
-		if !c.readNextCommand(g, in) {
-			return
-		}
+	var next readerStep
+	for next.kind == readNext {
+		next = c.readNextCommand(g, in)
+	}
+	var unparsed []byte
+	if next.kind == stopForHandover {
+		unparsed = c.takeUnparsedInput(in, next.unparsedHead)
+	}
+	c.discardReadAhead(g)
+	if next.kind == stopForHandover {
+		g.events.Post(clientReaderStopped{client: c, input: unparsed}) // another reader may start now
 	}
 }
 
-// readNextCommand reads and posts a command of which the first byte has arrived. It reports whether another
-// command may follow.
-func (c *client) readNextCommand(g *Gateway, in *resp.Reader) bool {
+// readerStep is what a reader does after a command.
+type readerStep struct {
+	kind         readerStepKind
+	unparsedHead []byte // for stopForHandover: the start of a command whose large body was not read
+}
+
+type readerStepKind uint8
+
+const (
+	readNext        readerStepKind = iota // read the next command
+	stopReader                            // the connection is closed or is about to be closed
+	stopForHandover                       // the successor reads the rest of the input
+)
+
+// readNextCommand waits for a command, reads it and posts it.
+func (c *client) readNextCommand(g *Gateway, in *resp.Reader) readerStep {
+	err := c.awaitCommand(in)
+	if errors.Is(err, errHandingOver) {
+		return readerStep{kind: stopForHandover}
+	}
+	if err != nil {
+		c.reportDisconnect(g)
+		return readerStep{kind: stopReader}
+	}
 	if c.sentValidCommand {
 		c.commandDeadline = time.Now().Add(commandTimeout)
 		c.setReadDeadline(c.commandDeadline)
@@ -57,8 +76,13 @@
 	e, err := c.readCommand(g, in)
 	if err != nil {
 		c.reportDisconnect(g)
-		return false
+		return readerStep{kind: stopReader}
 	}
+	return c.postCommand(g, in, e)
+}
+
+// postCommand posts a command that was read, and then forwards its large body, if it has one.
+func (c *client) postCommand(g *Gateway, in *resp.Reader, e receivedCommand) readerStep {
 	answered, _ := e.(commandAnswered)
 	c.sentValidCommand = c.sentValidCommand || !answered.malformed
 	if c.sentValidCommand {
@@ -66,25 +90,34 @@
 	}
 	head := e.head()
 	if !c.acquirePipelineSlot(g) {
-		g.memory.inputBytes.Add(-int64(head.size))
-		return false
+		head.releaseInput(g)
+		return readerStep{kind: stopReader}
 	}
 	g.events.Post(e)
-	if head.body != nil && !c.forwardBody(g, in, head.body) {
-		return false
+	if head.body != nil {
+		destination, ok := c.awaitDestination(g, head.body)
+		switch {
+		case !ok:
+			return readerStep{kind: stopReader}
+		case destination.unread:
+			unparsed := appendCommandHead(nil, head.args, head.body.size)
+			return readerStep{kind: stopForHandover, unparsedHead: unparsed}
+		case !c.forwardBody(g, in, head.body, destination.conn):
+			return readerStep{kind: stopReader}
+		}
 	}
 	if answered.framingLost || c.ignoreInput.Load() {
 		c.readAheadWhile(g, func() { <-c.done }) // the event loop closes the connection after the last reply
-		return false
+		return readerStep{kind: stopReader}
 	}
-	return true
+	return readerStep{kind: readNext}
 }
 
 // awaitCommand waits for the first byte of a command. It returns errHandingOver if the connection is to be
 // handed over instead.
 func (c *client) awaitCommand(in *resp.Reader) error {
 	c.midCommand = false
-	if c.handingOver.Load() && in.Buffered() == 0 && len(c.inheritedInput)+len(c.readAheadInput) == 0 {
+	if c.handingOver.Load() {
 		return errHandingOver
 	}
 	if err := in.AwaitMessage(); err != nil {
@@ -97,6 +130,12 @@
 	return nil
 }
 
+// takeUnparsedInput returns the input that was received but not parsed, in the order of its arrival: the
+// given start of a command, what the parser has buffered, and the rest of what was inherited or read ahead.
+func (c *client) takeUnparsedInput(in *resp.Reader, commandHead []byte) []byte {
+	return slices.Concat(commandHead, in.TakeBuffered(), c.inheritedInput, c.readAheadInput)
+}
+
 // acquirePipelineSlot waits for a slot in the pipeline. It returns false if the connection has ended.
 func (c *client) acquirePipelineSlot(g *Gateway) bool {
 	select {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -6,14 +6,14 @@
 
 	"sparspread/internal/handover"
 	"sparspread/internal/phase"
-	"sparspread/internal/resp"
 	"sparspread/policy"
 )
 
 // This file is the predecessor's side of a handover, which may end at any step. The process that has the
 // ownership admits requests and grants quota. This process has the ownership until it offers its state. The
 // successor has it once it has accepted the state and this process has transferred the ownership to it. In
-// between neither process has it, and commands are queued: at no time do both processes grant quota.
+// between neither process has it, and commands are queued: at no time do both processes grant quota. The
+// queues belong to the clients; command_queue.go describes them.
 
 // stateTimeout is the maximum time from sending the state until the successor has accepted it.
 const stateTimeout = 1 * second
@@ -85,25 +85,26 @@
 	retainOwnership()
 	// resumeOwnership serves again after a successor that had the ownership has exited.
 	resumeOwnership()
-	// handleQueuedCommand handles a command that was read while neither process had the ownership.
-	handleQueuedCommand(receivedCommand)
+	// forwardQueuedCommands prepares the commands that clients have queued since the state was offered for
+	// the successor.
+	forwardQueuedCommands()
+	// handleQueuedCommands handles the commands that clients have queued during a handover that has ended.
+	handleQueuedCommands()
 	// stopIfIdle stops the gateway if it is shutting down and nothing is open.
 	stopIfIdle()
 	// setStateTimeout schedules a call of handleStateTimeout after stateTimeout.
 	setStateTimeout(successorLink)
 }
 
-// outgoingHandover is the handover from this process to a successor. It owns the link to the successor, the
-// socket on which a successor requests the handover, and the commands that were read while neither process
-// had the ownership. Commands are queued only in the phase offered, and link is set unless the phase is none.
+// outgoingHandover is the handover from this process to a successor. It owns the link to the successor and
+// the socket on which a successor requests the handover. The link is set unless the phase is none.
 // outgoingHandover is used only by the event loop's goroutine.
 type outgoingHandover struct {
-	phase          phase.Machine[handoverPhase]
-	listener       *handover.Listener // accepts successors; nil if there is no socket for them
-	link           successorLink      // nil if there is no successor
-	queuedCommands []receivedCommand  // read since the state was exported, to be processed by the successor
-	gateway        handoverGateway
-	log            *slog.Logger
+	phase    phase.Machine[handoverPhase]
+	listener *handover.Listener // accepts successors; nil if there is no socket for them
+	link     successorLink      // nil if there is no successor
+	gateway  handoverGateway
+	log      *slog.Logger
 }
 
 func newOutgoingHandover(gateway handoverGateway, log *slog.Logger) *outgoingHandover {
@@ -151,10 +152,7 @@
 	}
 	link.TransferOwnership()
 	h.gateway.releaseOwnership()
-	for _, command := range h.queuedCommands {
-		h.queueCommand(command)
-	}
-	h.queuedCommands = nil
+	h.gateway.forwardQueuedCommands()
 	h.gateway.stopReading()
 	h.gateway.stopIfIdle()
 }
@@ -178,44 +176,20 @@
 // end ends a handover that was not completed, or whose successor has exited. This process serves again and
 // processes the queued commands.
 func (h *outgoingHandover) end() {
-	released, commands := h.hasReleasedOwnership(), h.queuedCommands
+	released := h.hasReleasedOwnership()
 	if !h.phase.TransitionTo(handoverNone) {
 		return
 	}
-	h.link, h.queuedCommands = nil, nil
+	h.link = nil
 	if released {
 		h.gateway.resumeOwnership()
 	} else {
 		h.gateway.retainOwnership()
 	}
-	for _, command := range commands {
-		h.gateway.handleQueuedCommand(command)
-	}
+	h.gateway.handleQueuedCommands()
 	h.gateway.stopIfIdle()
 }
 
-// queueCommand keeps a command for the successor. Before the ownership is transferred, it queues the command.
-// Afterwards it appends the command to the input that is handed over with the client's connection, and
-// releases the command's slot in the client's pipeline.
-func (h *outgoingHandover) queueCommand(e receivedCommand) {
-	if !h.hasReleasedOwnership() {
-		h.queuedCommands = append(h.queuedCommands, e)
-		return
-	}
-	head := e.head()
-	head.client.handoverInput = appendCommand(head.client.handoverInput, head.args)
-	<-head.client.pipelineSlots
-}
-
-// appendCommand appends the encoding of a command to b.
-func appendCommand(b []byte, args [][]byte) []byte {
-	b = resp.AppendArray(b, len(args))
-	for _, arg := range args {
-		b = resp.AppendBulk(b, arg)
-	}
-	return b
-}
-
 // canSend reports whether there is a successor to which messages can be sent.
 func (h *outgoingHandover) canSend() bool { return h.isActive() && !h.link.IsClosed() }
 
--- a/internal/gateway/handover_clients.go
+++ b/internal/gateway/handover_clients.go
@@ -21,7 +21,7 @@
 	if c.readerStopped && !c.closed {
 		c.readerStopped = false
 		c.handingOver.Store(false)
-		c.inheritedInput, c.handoverInput = c.handoverInput, nil
+		c.inheritedInput, c.unparsedInput = c.unparsedInput, nil
 		_ = c.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 		go c.readCommands(g, c.commandCount > 0)
 	}
@@ -30,14 +30,18 @@
 	}
 }
 
-// clientReaderStopped reports that the reader has stopped before a command.
-type clientReaderStopped struct{ client *client }
+// clientReaderStopped reports that the reader has stopped before a command. The input is what the reader had
+// received but not parsed.
+type clientReaderStopped struct {
+	client *client
+	input  []byte
+}
 
 func (e clientReaderStopped) Handle(g *Gateway) {
 	c := e.client
-	c.readerStopped = true
-	if !g.handover.hasReleasedOwnership() {
-		c.resumeReading(g) // the handover has ended in the meantime
+	c.readerStopped, c.unparsedInput = true, e.input
+	if !g.handover.hasReleasedOwnership() || c.closeWhenAnswered {
+		c.resumeReading(g) // the handover has ended in the meantime, or the connection is not handed over
 		return
 	}
 	c.handOver(g)
@@ -60,8 +64,7 @@
 	close(c.done)
 	delete(g.clients.conns, c)
 	<-g.clients.slots
-	conn, input := c.conn, c.handoverInput
-	c.handoverInput = nil
+	conn, input := c.conn, c.takeUnprocessedInput(g)
 	g.handover.sendClient(
 		handover.ClientConnection{
 			Requests: c.commandCount,
--- a/internal/gateway/handover_gateway.go
+++ b/internal/gateway/handover_gateway.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"sparspread/internal/discovery"
 	"sparspread/internal/handover"
@@ -121,10 +123,26 @@
 	}
 }
 
-func (a handoverAdapter) handleQueuedCommand(command receivedCommand) {
-	// The size was subtracted before the command was queued, and Handle subtracts it again.
-	a.memory.inputBytes.Add(int64(command.head().size))
-	command.Handle(a.Gateway)
+func (a handoverAdapter) forwardQueuedCommands() {
+	for c := range a.clients.conns {
+		c.forwardQueuedCommands(a.Gateway)
+	}
+}
+
+// handleQueuedCommands implements handoverGateway. It handles the commands of all clients in the order of
+// their arrival.
+func (a handoverAdapter) handleQueuedCommands() {
+	var commands []receivedCommand
+	for c := range a.clients.conns {
+		commands = append(commands, c.queuedCommands...)
+		c.queuedCommands = nil
+	}
+	slices.SortStableFunc(commands, func(x, y receivedCommand) int {
+		return cmp.Compare(x.head().receivedAt, y.head().receivedAt)
+	})
+	for _, command := range commands {
+		a.handleCommand(command)
+	}
 }
 
 func (a handoverAdapter) stopIfIdle() { a.shutdown.stopIfIdle() }
--- a/internal/gateway/handover_older_scenario_test.go
+++ b/internal/gateway/handover_older_scenario_test.go
@@ -71,9 +71,7 @@
 			state.Version, len(state.Members), state.Module)
 	}
 	s.idle.sendOnce(4, "team")
-	for inspectGateway(t, s.rig, func(g *Gateway) int { return len(g.handover.queuedCommands) }) == 0 {
-		s.rig.sync(t)
-	}
+	s.rig.waitUntil(t, func(g *Gateway) bool { return countQueuedCommands(g) > 0 })
 	link.Send(olderAccepted, nil)
 	link.Expect(olderGo)
 	return *state.Module
--- a/internal/gateway/handover_phase_test.go
+++ b/internal/gateway/handover_phase_test.go
@@ -57,16 +57,17 @@
 	exportErr error
 }
 
-func (f *fakeHandoverGateway) canHandOver() bool                   { return !f.closing }
-func (f *fakeHandoverGateway) exportState() ([]byte, error)        { return nil, f.exportErr }
-func (f *fakeHandoverGateway) pauseServing()                       { f.record("pauseServing") }
-func (f *fakeHandoverGateway) releaseOwnership()                   { f.record("releaseOwnership") }
-func (f *fakeHandoverGateway) stopReading()                        { f.record("stopReading") }
-func (f *fakeHandoverGateway) retainOwnership()                    { f.record("retainOwnership") }
-func (f *fakeHandoverGateway) resumeOwnership()                    { f.record("resumeOwnership") }
-func (f *fakeHandoverGateway) handleQueuedCommand(receivedCommand) { f.record("handleQueuedCommand") }
-func (f *fakeHandoverGateway) stopIfIdle()                         { f.record("stopIfIdle") }
-func (f *fakeHandoverGateway) setStateTimeout(successorLink)       { f.record("setStateTimeout") }
+func (f *fakeHandoverGateway) canHandOver() bool             { return !f.closing }
+func (f *fakeHandoverGateway) exportState() ([]byte, error)  { return nil, f.exportErr }
+func (f *fakeHandoverGateway) pauseServing()                 { f.record("pauseServing") }
+func (f *fakeHandoverGateway) releaseOwnership()             { f.record("releaseOwnership") }
+func (f *fakeHandoverGateway) stopReading()                  { f.record("stopReading") }
+func (f *fakeHandoverGateway) retainOwnership()              { f.record("retainOwnership") }
+func (f *fakeHandoverGateway) resumeOwnership()              { f.record("resumeOwnership") }
+func (f *fakeHandoverGateway) forwardQueuedCommands()        { f.record("forwardQueuedCommands") }
+func (f *fakeHandoverGateway) handleQueuedCommands()         { f.record("handleQueuedCommands") }
+func (f *fakeHandoverGateway) stopIfIdle()                   { f.record("stopIfIdle") }
+func (f *fakeHandoverGateway) setStateTimeout(successorLink) { f.record("setStateTimeout") }
 
 // newFakeHandover returns a handover, its fake gateway, and the illegal transitions that it reports.
 func newFakeHandover() (*outgoingHandover, *fakeHandoverGateway, *[]string) {
@@ -85,16 +86,10 @@
 	if !h.isActive() || h.hasReleasedOwnership() || !h.canSend() {
 		t.Error("after the offer: handover is inactive, cannot send, or has released ownership")
 	}
-	c := &client{pipelineSlots: make(chan struct{}, 1)}
-	c.pipelineSlots <- struct{}{}
-	h.queueCommand(commandAnswered{commandHead: commandHead{client: c, args: [][]byte{[]byte("PING")}}})
 	h.handleStateAccepted(link)
 	wantPhase(t, &h.phase, handoverAccepted)
-	f.wantCalls(t, "releaseOwnership", "stopReading", "stopIfIdle")
+	f.wantCalls(t, "releaseOwnership", "forwardQueuedCommands", "stopReading", "stopIfIdle")
 	link.wantCalls(t, "TransferOwnership")
-	if got := string(c.handoverInput); got != "*1\r\n$4\r\nPING\r\n" || len(c.pipelineSlots) != 0 {
-		t.Errorf("got input %q for the successor and %d slots in use", got, len(c.pipelineSlots))
-	}
 	h.handleStateTimeout(link) // has no effect after the state was accepted
 	h.reportAttemptSent(1, 1)
 	h.reportAttemptEnded(policy.Outcome{})
@@ -116,11 +111,10 @@
 			h, f, illegal := newFakeHandover()
 			link := &fakeLink{}
 			h.offerState(link)
-			h.queueCommand(commandAnswered{})
 			f.wantCalls(t, "pauseServing", "setStateTimeout")
 			end(h, link)
 			wantPhase(t, &h.phase, handoverNone)
-			f.wantCalls(t, "retainOwnership", "handleQueuedCommand", "stopIfIdle")
+			f.wantCalls(t, "retainOwnership", "handleQueuedCommands", "stopIfIdle")
 			link.wantCalls(t, "SendState", "Close")
 			h.handleStateAccepted(link) // has no effect after the handover has ended
 			h.handleStateTimeout(link)
@@ -141,10 +135,11 @@
 	first, second := &fakeLink{}, &fakeLink{}
 	h.offerState(first)
 	h.handleStateAccepted(first)
-	f.wantCalls(t, "pauseServing", "setStateTimeout", "releaseOwnership", "stopReading", "stopIfIdle")
+	f.wantCalls(t, "pauseServing", "setStateTimeout",
+		"releaseOwnership", "forwardQueuedCommands", "stopReading", "stopIfIdle")
 	h.handleSuccessorExited(first)
 	wantPhase(t, &h.phase, handoverNone)
-	f.wantCalls(t, "resumeOwnership", "stopIfIdle")
+	f.wantCalls(t, "resumeOwnership", "handleQueuedCommands", "stopIfIdle")
 	h.offerState(second)
 	h.handleStateTimeout(first)
 	h.handleSuccessorExited(first)
@@ -190,7 +185,7 @@
 	wantPhase(t, &h.phase, handoverAccepted)
 	wantIllegalTransitions(t, illegal, "handover: no transition from accepted to accepted")
 	h.handleSuccessorExited(link)
-	f.wantCalls(t, "resumeOwnership", "stopIfIdle")
+	f.wantCalls(t, "resumeOwnership", "handleQueuedCommands", "stopIfIdle")
 	h.end()
 	wantPhase(t, &h.phase, handoverNone)
 	f.wantCalls(t)
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -17,8 +17,8 @@
 // of a request without a large body.
 type body struct {
 	size             int
-	destination      chan *backendConn // sent by the event loop to the reader; nil to skip the body
-	lastBytesWriting atomic.Bool       // set by the reader before it writes the last bytes to the backend
+	destination      chan bodyDestination // sent by the event loop to the reader
+	lastBytesWriting atomic.Bool          // set by the reader before it writes the last bytes to the backend
 
 	// Used only by the event loop's goroutine.
 	request  *request
@@ -26,6 +26,12 @@
 	conn     *backendConn // the connection that was sent to destination, if any
 }
 
+// bodyDestination tells the reader of a client what to do with a large body.
+type bodyDestination struct {
+	conn   *backendConn // the connection to which the body is written; nil to skip the body
+	unread bool         // the successor reads the body; the reader stops before it
+}
+
 // isUnassigned reports whether an attempt can be made: there is no large body, or it was neither forwarded
 // nor skipped yet.
 func (b *body) isUnassigned() bool { return b == nil || !b.assigned }
@@ -35,10 +41,17 @@
 func (b *body) assignConn(c *backendConn) {
 	if b != nil && !b.assigned {
 		b.assigned, b.conn = true, c
-		b.destination <- c
+		b.destination <- bodyDestination{conn: c}
 	}
 }
 
+// leaveUnread makes the reader stop before the body, which must not be assigned yet, so that the successor
+// reads it.
+func (b *body) leaveUnread() {
+	b.assigned = true
+	b.destination <- bodyDestination{unread: true}
+}
+
 // discard makes the reader skip the body, unless it is already assigned. It is called when the request has
 // its reply.
 func (b *body) discard() { b.assignConn(nil) }
@@ -55,15 +68,10 @@
 	return a.request != nil && a.request.body != nil && a.conn != nil && !a.fullyWritten
 }
 
-// forwardBody waits until the event loop has assigned a large body to a connection or has discarded it. It
-// then writes the body to the connection, a buffer at a time, or skips it. It runs in the client's reader
-// goroutine, so a slow backend delays only this client. It reports the result to the event loop, and returns
-// whether the next command can be read.
-func (c *client) forwardBody(g *Gateway, in *resp.Reader, b *body) bool {
-	conn, ok := c.awaitDestination(g, b)
-	if !ok {
-		return false // the attempt, if any, ends with the request
-	}
+// forwardBody writes a large body to a connection, a buffer at a time, or skips it if conn is nil. It runs in
+// the client's reader goroutine, so a slow backend delays only this client. It reports the result to the
+// event loop, and returns whether the next command can be read.
+func (c *client) forwardBody(g *Gateway, in *resp.Reader, b *body, conn *backendConn) bool {
 	w := bodyWriter{client: c, gateway: g, body: b, conn: conn}
 	err := c.copyBodyChunks(in, &w)
 	if c.disconnected.Load() {
@@ -86,18 +94,18 @@
 	return false
 }
 
-// awaitDestination waits for the backend connection to which a body is to be written, which is nil if the
-// body is to be skipped. ok is false if the client's connection ends first.
-func (c *client) awaitDestination(g *Gateway, b *body) (conn *backendConn, ok bool) {
+// awaitDestination waits for the destination of a body. ok is false if the client's connection ends first;
+// then the attempt, if any, ends with the request.
+func (c *client) awaitDestination(g *Gateway, b *body) (destination bodyDestination, ok bool) {
 	closed := false
 	c.readAheadWhile(g, func() {
 		select {
-		case conn = <-b.destination:
+		case destination = <-b.destination:
 		case <-c.done:
 			closed = true
 		}
 	})
-	return conn, !closed && !c.disconnected.Load()
+	return destination, !closed && !c.disconnected.Load()
 }
 
 // copyBodyChunks reads the bytes of a body, without the line end after them, and passes them to w, which
--- a/internal/gateway/rig_test.go
+++ b/internal/gateway/rig_test.go
@@ -174,14 +174,18 @@
 	}
 }
 
-// waitUntil waits until a condition holds. It calls condition repeatedly on the goroutine of the event loop.
+// waitUntil waits until a condition holds, and fails the test if that takes longer than testTimeout. It calls
+// condition repeatedly on the goroutine of the event loop.
 func (r *rig) waitUntil(tb testing.TB, condition func(*Gateway) bool) {
 	tb.Helper()
 	result := make(chan bool, 1)
-	for holds := false; !holds; {
+	for until := time.Now().Add(testTimeout); time.Now().Before(until); {
 		r.gateway.events.Post(inspect(func(g *Gateway) { result <- condition(g) }))
-		holds = wait(tb, result, "the event loop")
+		if wait(tb, result, "the event loop") {
+			return
+		}
 	}
+	tb.Fatal("timed out waiting for a condition")
 }
 
 // awaitQuiescence waits until a connection to a backend is idle, and advances the clock by quiescencePeriod.
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -32,6 +32,14 @@
 // Buffered returns the number of bytes that were received but not yet read as part of a message.
 func (r *Reader) Buffered() int { return r.in.Buffered() }
 
+// TakeBuffered removes and returns the bytes that were received but not yet read as part of a message.
+func (r *Reader) TakeBuffered() []byte {
+	buffered, _ := r.in.Peek(r.in.Buffered()) // cannot fail, because the bytes are buffered
+	taken := slices.Clone(buffered)
+	_, _ = r.in.Discard(len(taken))
+	return taken
+}
+
 // ReadValueBytes reads the next bytes of a streamed value, at most len(b). It returns as soon as some are
 // available.
 func (r *Reader) ReadValueBytes(b []byte) (int, error) {
