Refuse a queued command in a handover if its client writes the next slowly

Cause: a command that was queued while the state was offered waits until its connection can be handed over. If its client has begun the next command by then, that takes until the client completes it, up to 2.5 s; an answer that is half a second late counts as lost.

A refused request has not run.

Evidence: TestQueuedCommandDoesNotWaitForSlowWriter failed on: the first answer came after 2.5 s and was the error for the second command.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -110,13 +110,15 @@
 }
 
 // sweep closes connections that have been idle for too long or exceed the limit. During a handover it hands
-// over connections that are ready for it. It also logs the counts if they are due.
+// over connections that are ready for it, and refuses commands that have waited too long for that. It also
+// logs the counts if they are due.
 func (cs *clients) sweep(g *Gateway) {
 	for len(cs.conns) > cs.limit && cs.evict(g, nil) {
 	}
 	cs.logCounts(g)
 	now := g.events.Now()
 	for c := range cs.conns {
+		c.refuseDelayedCommands(g, now)
 		c.handOver(g)
 		if now-c.lastCommandAt > c.idleTimeout() && len(c.pipeline) == 0 && !c.closeWhenAnswered {
 			c.closeNow(g)
--- a/internal/gateway/command_queue.go
+++ b/internal/gateway/command_queue.go
@@ -1,12 +1,19 @@
 package gateway
 
-import "sparspread/internal/resp"
+import (
+	"sparspread/internal/resp"
+	"sparspread/policy"
+)
 
 // This file queues the commands that a client sends during a handover. Replies have the order of the
 // commands, so a command must not overtake a queued one. It is answered by this process only if all commands
 // of the connection before it are, too. Everything else follows the connection to the successor: the queued
 // commands, and the input behind them, which is not parsed here.
 
+// maxForwardDelay is the maximum time for which a command waits for its connection to be handed over while no
+// earlier command of the connection is open. Clients may take longer to write the next command.
+const maxForwardDelay = 100 * millisecond
+
 // queueCommand queues a command during a handover. After this process has released the ownership, it prepares
 // the command for the successor.
 func (c *client) queueCommand(g *Gateway, e receivedCommand) {
@@ -53,6 +60,20 @@
 	}
 }
 
+// refuseDelayedCommands refuses the queued commands of a connection that cannot be handed over soon, because
+// its client has started to write another command and has not completed it.
+func (c *client) refuseDelayedCommands(g *Gateway, now policy.Time) {
+	if !g.handover.hasReleasedOwnership() || c.readerStopped {
+		return // nothing is delayed, or the connection is handed over as soon as its pipeline is empty
+	}
+	if len(c.pipeline) > 0 || len(c.queuedCommands) == 0 {
+		return
+	}
+	if now-c.queuedCommands[0].head().receivedAt > maxForwardDelay {
+		c.refuseQueuedCommands(g, 0)
+	}
+}
+
 // discardQueuedCommands drops the queued commands of a client that has disconnected.
 func (c *client) discardQueuedCommands(g *Gateway) {
 	for _, e := range c.queuedCommands {
--- a/internal/gateway/command_queue_test.go
+++ b/internal/gateway/command_queue_test.go
@@ -78,6 +78,14 @@
 	h.do(t, func(g *Gateway) { g.handover.handleSuccessorExited(h.link) })
 }
 
+// wantHandedOver waits until a client is handed over, and checks its input.
+func (h *handoverRig) wantHandedOver(t *testing.T, want string) {
+	t.Helper()
+	if got := wait(t, h.link.inputs, "the client to be handed over"); got != want {
+		t.Errorf("handed over with input %.200q, want %.200q", got, want)
+	}
+}
+
 // onceCommand returns the encoding of the request that testClient.sendOnce sends for plan team.
 func onceCommand(id int) string {
 	fields := "c=once,t=team,d=86400000,units=1,spread=1,first=0"
@@ -199,3 +207,20 @@
 	c.wantValue("two")
 	c.wantServed(h.backend, "three")
 }
+
+// Guards against a late answer: a queued command waited until its client had written the next command. It is
+// refused in time, and the next command follows the connection.
+func TestQueuedCommandDoesNotWaitForSlowWriter(t *testing.T) {
+	h, c := offerState(t)
+	second := onceCommand(2)
+	c.write(onceCommand(1) + second[:20])
+	h.awaitQueued(t, 1)
+	h.accept(t)
+	h.advanceClock(t, maxForwardDelay+sweepInterval)
+	c.wantRejected()
+	c.write(second[20:])
+	h.wantHandedOver(t, second)
+	if len(h.backend.calls) > 0 {
+		t.Error("a refused request was sent to the backend")
+	}
+}
