Close a connection only when every command that has arrived is answered

Cause: a connection with a part of a command was marked to be closed after that command, and all input behind it was ignored, although the connection stayed open until the reply. Other closes looked at the pipeline only: they dropped a command that was queued for the event loop behind the reply, was still being written, waited for a place in a full pipeline, or was queued for a successor.

Change: closeIfAnswered closes a connection only if awaitsReply is false: nothing is in the pipeline, queued, held by the reader, partly received or unread in the kernel. The reader publishes what it waits for, in place of the comparison of two times. After the shutdown has answered all requests, and for connections over the limit, the rest of a command is not waited for.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -36,13 +36,14 @@
 	ignoreInput  atomic.Bool  // set by the event loop: further input is not parsed
 	disconnected atomic.Bool  // set by the reader: the peer has closed; clientDisconnected may be queued
 	lastInputAt  atomic.Int64 // set by the reader: when input last arrived; zero if none has
+	readerWaits  atomic.Int32 // set by the reader: a readerWait
 	handingOver  atomic.Bool  // set by the event loop: the reader stops before the next command
 
 	// Used only by the event loop's goroutine.
 	pipeline              []*request // requests without a written reply, in the order of their commands
 	closed                bool       // nothing can be written any more
-	closeWhenAnswered     bool       // close when pipeline is empty
-	closeAfterNextCommand bool       // close after the reply to the next command
+	closeWhenAnswered     bool       // close when all commands that have arrived are answered
+	closeAfterNextCommand bool       // set closeWhenAnswered with the next command
 	writeClosed           bool       // the sending side is closed; no further command is accepted
 	overLimit             bool       // too many connections are open: its request is rejected, it is closed
 	commandCount          int        // number of well-formed commands
@@ -120,6 +121,7 @@
 	for c := range cs.conns {
 		c.refuseDelayedCommands(g, now)
 		c.handOver(g)
+		c.closeIfAnswered(g)
 		if now-c.lastCommandAt > c.idleTimeout() && len(c.pipeline) == 0 && !c.closeWhenAnswered {
 			c.closeNow(g)
 		}
@@ -134,7 +136,5 @@
 	return maxIdleTime
 }
 
-// isMidCommand reports whether the connection has no open request and an incomplete command has arrived.
-func (c *client) isMidCommand() bool {
-	return len(c.pipeline) == 0 && c.lastInputAt.Load() > c.lastCommandAt
-}
+// isMidCommand reports whether the reader waits for the rest of a command.
+func (c *client) isMidCommand() bool { return readerWait(c.readerWaits.Load()) == waitsForRest }
--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -11,23 +11,43 @@
 	maxLingers       = 10
 )
 
-// closeAfterReplies closes the connection when its open requests are answered.
+// closeAfterReplies closes the connection when all commands that have arrived are answered.
 func (c *client) closeAfterReplies(g *Gateway) {
-	if c.closeWhenAnswered || c.closed {
-		return
-	}
 	c.closeWhenAnswered = true
-	if len(c.pipeline) == 0 {
+	c.closeIfAnswered(g)
+}
+
+// closeIfAnswered closes the connection if that is due and all commands that have arrived are answered. The
+// sweep calls it too, because no event reports that the reader has processed its input.
+func (c *client) closeIfAnswered(g *Gateway) {
+	if c.closeWhenAnswered && !c.writeClosed && !c.closed && !c.awaitsReply(g) {
 		c.closeWrite(g)
 	}
 }
 
+// awaitsReply reports whether the client may have written a command that is not answered. A command that was
+// read and dropped by a close would be lost, even if an earlier one was still open when it arrived.
+func (c *client) awaitsReply(g *Gateway) bool {
+	switch {
+	case len(c.pipeline) > 0 || len(c.queuedCommands) > 0:
+		return true
+	case c.ignoreInput.Load():
+		return false
+	}
+	// The reader posts a command and has its slot before it waits for further input.
+	wait := readerWait(c.readerWaits.Load())
+	if len(c.pipelineSlots) > 0 || wait == waitsForNoInput {
+		return true
+	}
+	if g.shutdown.hasAnsweredAll() || c.overLimit {
+		return false // there is no time or no room to wait for the rest of a command
+	}
+	return wait == waitsForRest || !c.writer.NoInput()
+}
+
 // closeWrite closes the sending side and gives the peer some time to close the connection first. Closing it
 // with unread input would reset it, and the peer could lose a reply in transit.
 func (c *client) closeWrite(g *Gateway) {
-	if c.writeClosed {
-		return
-	}
 	c.writeClosed = true
 	c.writer.CloseWrite()
 	linger := lingerTime
--- a/internal/gateway/client_commands.go
+++ b/internal/gateway/client_commands.go
@@ -131,12 +131,7 @@
 // that is not forwarded only reserves the place of its reply.
 func (h commandHead) appendRequest(g *Gateway, parsed command.Request) *request {
 	c := h.client
-	if c.closeAfterNextCommand {
-		c.closeWhenAnswered = true
-		if h.body == nil {
-			c.ignoreInput.Store(true)
-		}
-	}
+	c.closeWhenAnswered = c.closeWhenAnswered || c.closeAfterNextCommand
 	r := &request{
 		client: c, body: h.body,
 		args: parsed.Args, timeoutSpan: parsed.TimeoutSpan, clientRequestID: parsed.RequestID,
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -19,6 +19,19 @@
 // errHandingOver reports that the connection is to be handed over and no command is being read.
 var errHandingOver = errors.New("connection is being handed over")
 
+// readerWait is what the reader of a connection waits for. The reader sets it around each read from the
+// connection, after it has posted the commands that it has read.
+type readerWait int32
+
+const (
+	// The reader processes input, waits for the event loop, or has ended.
+	waitsForNoInput readerWait = iota
+	// The reader waits for the first byte of a command.
+	waitsForCommand
+	// The reader waits for the rest of a command.
+	waitsForRest
+)
+
 // readCommands reads commands and posts them until the connection ends, is to be handed over or has lost
 // its framing. It is the reader goroutine of the connection, which ends when the connection is closed. It
 // waits for replies only while the pipeline is full. It then reads ahead, to detect the end of the
@@ -181,6 +194,16 @@
 	if len(c.readAheadInput) > 0 {
 		return c.consumeReadAhead(b), nil
 	}
+	return c.readFromConn(b)
+}
+
+// readFromConn waits for input from the connection and reads it.
+func (c *client) readFromConn(b []byte) (int, error) {
+	wait := waitsForCommand
+	if c.midCommand {
+		wait = waitsForRest
+	}
+	c.readerWaits.Store(int32(wait))
 	n, err := c.conn.Read(b)
 	if n > 0 {
 		c.lastInputAt.Store(c.clock.Now())
@@ -190,5 +213,6 @@
 		c.setReadDeadline(c.commandDeadline)
 		n, err = c.conn.Read(b)
 	}
+	c.readerWaits.Store(int32(waitsForNoInput))
 	return n, err
 }
--- a/internal/gateway/client_reply.go
+++ b/internal/gateway/client_reply.go
@@ -16,9 +16,7 @@
 		g.events.Defer(clientDisconnected{client: c})
 	}
 	if len(c.pipeline) == 0 {
-		if c.closeWhenAnswered {
-			c.closeWrite(g)
-		}
+		c.closeIfAnswered(g)
 		c.handOver(g)
 	} else if next := c.pipeline[0]; next.valueConn != nil {
 		g.startValueTransfer(next)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -197,11 +197,7 @@
 		return // each connection is handed over once nothing is open on it
 	}
 	for c := range a.clients.conns {
-		if c.isMidCommand() {
-			c.closeAfterNextCommand = true // the command is answered first
-		} else {
-			c.closeAfterReplies(a.Gateway)
-		}
+		c.closeAfterReplies(a.Gateway)
 	}
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -72,10 +72,9 @@
 	handleNextEvent(t, g, "the connection")
 	c.write("*4\r\n$8\r\nAPI.R")
 	for conn := range g.clients.conns {
-		for conn.lastInputAt.Load() == 0 { // until the reader has received the input
+		for !conn.isMidCommand() {
 			runtime.Gosched()
 		}
-		conn.lastCommandAt = 0 // as if the connection had been opened earlier
 	}
 	advanceClock(t, g, acceptPeriod)
 	if g.events.Stopped() || len(g.clients.conns) != 1 {
