Do not close a connection as idle while a command from it is queued

A command that was read and waited for the event loop, or for the end of a handover, was dropped with its connection: the same cause as that of closes at a shutdown.

Change: hasOpenCommand looks at the slots, which a command holds from the moment it is read, and at the input that waits for a successor. The limit on clients with open requests still counts the pipeline only.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -122,7 +122,7 @@
 		c.refuseDelayedCommands(g, now)
 		c.handOver(g)
 		c.closeIfAnswered(g)
-		if now-c.lastCommandAt > c.idleTimeout() && len(c.pipeline) == 0 && !c.closeWhenAnswered {
+		if now-c.lastCommandAt > c.idleTimeout() && !c.hasOpenCommand() && !c.closeWhenAnswered {
 			c.closeNow(g)
 		}
 	}
@@ -136,5 +136,11 @@
 	return maxIdleTime
 }
 
+// hasOpenCommand reports whether a command was read and not answered: it waits for the event loop, for a
+// reply, or for the end of a handover. Such a connection is neither idle nor evicted.
+func (c *client) hasOpenCommand() bool {
+	return len(c.pipelineSlots) > 0 || len(c.pipeline) > 0 || len(c.unparsedInput) > 0
+}
+
 // isMidCommand reports whether the reader waits for the rest of a command.
 func (c *client) isMidCommand() bool { return readerWait(c.readerWaits.Load()) == waitsForRest }
--- a/internal/gateway/client_eviction.go
+++ b/internal/gateway/client_eviction.go
@@ -55,7 +55,7 @@
 	var victim *client
 	lowest := rankExempt
 	for c := range cs.conns {
-		if c == requester || c.closeWhenAnswered || len(c.pipeline) > 0 {
+		if c == requester || c.closeWhenAnswered || c.hasOpenCommand() {
 			continue
 		}
 		rank := c.evictionRank(now, requester != nil, excess)
--- a/internal/gateway/client_eviction_test.go
+++ b/internal/gateway/client_eviction_test.go
@@ -54,6 +54,32 @@
 	}
 }
 
+// Guards against a lost request: a connection was closed as idle, or to make room, although a command that
+// had been read from it was queued for the event loop.
+func TestConnectionWithQueuedCommandIsNotClosed(t *testing.T) {
+	for name, closeIdle := range map[string]func(*Gateway){
+		"idle":    func(g *Gateway) { g.clients.sweep(g) },
+		"evicted": func(g *Gateway) { g.clients.evict(g, &client{}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGateway(t, newFakeDiscovery(t))
+			g.listening.resume()
+			t.Cleanup(g.listening.pause)
+			c := dialClient(t, g.listening.listener.Addr().String())
+			handleNextEvent(t, g, "the connection")
+			c.send("PING")
+			handleNextEvent(t, g, "the first command")
+			c.wantLine("+PONG")
+			c.send("PING")
+			awaitQueued(g, 1)
+			advanceClock(t, g, 2*maxIdleTime)
+			closeIdle(g)
+			handleNextEvent(t, g, "the second command")
+			c.wantLine("+PONG")
+		})
+	}
+}
+
 // Idle connections of other clients do not prevent new clients from being served.
 func TestIdleConnectionsAreEvictedForNewClients(t *testing.T) {
 	r, b := startWithFourBackends(t, 40) // serves 6 clients and can reject 4 further ones
