--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -20,9 +20,9 @@
 	// watchWait is how long the service may hold a watch open. It is short because a watch that hangs
 	// hides all updates until it times out.
 	watchWait = 2 * time.Second
-	// maxResponseTimeout is the maximum time until a response begins, in addition to the wait of the call,
-	// and the maximum pause within an update. A service under load fails a call itself before this limit, so
-	// a longer timeout would not get more responses.
+	// maxResponseTimeout is the maximum time until a response begins, in addition to the time for which the
+	// service may hold the call open, and the maximum pause within an update. A service under load fails a
+	// call itself before this limit, so a longer timeout would not get more responses.
 	maxResponseTimeout = time.Second
 	// deliveryLimit is the protocol's time limit for the delivery of an update: after it, the update counts
 	// as delivered, even if calls failed.
@@ -78,7 +78,7 @@
 	notify          func(context.Context, Event)
 	http            *http.Client
 	random          *rand.Rand    // used by Run only
-	responseTimeout time.Duration // limits the time until a response begins, beyond the wait of the call
+	responseTimeout time.Duration // until a response begins, without the time that a watch is held open
 	maxBackoff      time.Duration // limits the delay after a refused call or, with an agent, any failed call
 	maxBytes        int64         // maximum size of the text of an update
 
--- a/internal/gateway/backend_reply.go
+++ b/internal/gateway/backend_reply.go
@@ -24,11 +24,13 @@
 
 // classifiedReply is the interpretation of a reply from a backend.
 type classifiedReply struct {
-	result     policy.Result
-	value      []byte // nil if there is none
-	usage      string // such as "used=37,cost=4"; empty if there is none
-	load       string // the load report, in the same form; empty if there is none
-	wellFormed bool   // the reply has the expected form: an array whose first item is the value, or an error
+	result policy.Result
+	value  []byte // nil if there is none
+	usage  string // such as "used=37,cost=4"; empty if there is none
+	load   string // the load report, in the same form; empty if there is none
+	// The reply has an expected form: an error or, for a request, an array whose first item is the value and,
+	// for a health check, a string.
+	wellFormed bool
 }
 
 // classifyReply interprets a reply to a request or to a health check. Items after the value, such as a load
--- a/internal/gateway/handover_gateway.go
+++ b/internal/gateway/handover_gateway.go
@@ -22,7 +22,7 @@
 
 func (a handoverAdapter) exportState() ([]byte, error) {
 	return handover.EncodeState(&handover.State{
-		NextRequestID: a.requests.lastID,
+		LastRequestID: a.requests.lastID,
 		Endpoints:     a.backends.listedEndpoints(),
 		Policy:        a.controller.Export(a.events.Now()),
 	})
--- a/internal/gateway/replies.go
+++ b/internal/gateway/replies.go
@@ -24,6 +24,7 @@
 	return fmt.Appendf(nil, "-BUSY %d\r\n", (after+millisecond-1)/millisecond)
 }
 
+// isBusyReply reports whether a reply to a client is a rejection.
 func isBusyReply(reply []byte) bool { return bytes.HasPrefix(reply, []byte("-BUSY")) }
 
 // countReply counts a request by the outcome in its final reply.
@@ -43,6 +44,7 @@
 	return fmt.Appendf(nil, "-ERR %s\r\n", strings.Map(replaceUnprintable, err.Error()))
 }
 
+// replaceUnprintable returns the character, or '?' if it is not printable ASCII, such as a line end.
 func replaceUnprintable(r rune) rune {
 	if r < ' ' || r > '~' {
 		return '?'
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -138,7 +138,7 @@
 	if err := a.controller.Import(a.events.Now(), state.Policy); err != nil {
 		a.log.Error("handover: starting without the state of the predecessor", "error", err)
 	}
-	a.requests.lastID = max(a.requests.lastID, state.NextRequestID)
+	a.requests.lastID = max(a.requests.lastID, state.LastRequestID)
 	a.backends.limit /= 2
 	limitMemory(a.config, twoProcesses)
 }
--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -29,7 +29,7 @@
 
 // State is the state that the predecessor transfers to the successor.
 type State struct {
-	NextRequestID uint64               // the highest request ID that the predecessor has assigned
+	LastRequestID uint64               // the highest request ID that the predecessor has assigned
 	Endpoints     []discovery.Endpoint // from the most recent list that discovery sent
 	Policy        *policy.Snapshot
 }
@@ -45,9 +45,9 @@
 // gateway closes the connection earlier.
 const maxAgeWithoutCommand = 5 * time.Second
 
-// OpeningTime returns the time at which the connection was opened, by the clock that now was read from. If
-// the sender did not send the age, it is derived from OpenedAt. The wall clocks of the two processes may
-// differ, so a derived age that is impossible is replaced by zero.
+// OpeningTime returns the time at which the connection was opened. The argument now is the current time of
+// this process. If the sender did not send the age, it is derived from OpenedAt. The wall clocks of the two
+// processes may differ, so a derived age that is impossible is replaced by zero.
 func (c *ClientConnection) OpeningTime(now time.Time) time.Time {
 	age := c.Age
 	if age == 0 {
@@ -75,7 +75,7 @@
 // handoverState is the encoded form of State. The names of the type and of its fields are frozen.
 type handoverState struct {
 	Version int
-	NextID  uint64
+	NextID  uint64 // State.LastRequestID
 	Members []member
 	Module  *policy.Snapshot
 }
@@ -125,7 +125,7 @@
 
 // EncodeState encodes a state for DecodeState of the other process.
 func EncodeState(s *State) ([]byte, error) {
-	form := handoverState{Version: stateVersion, NextID: s.NextRequestID, Module: s.Policy}
+	form := handoverState{Version: stateVersion, NextID: s.LastRequestID, Module: s.Policy}
 	for _, e := range s.Endpoints {
 		form.Members = append(form.Members, member{
 			ID: e.ID, HostPort: e.Address, Locality: e.Zone, Cell: e.Cell, Phase: e.Phase,
@@ -154,7 +154,7 @@
 	if form.Version != stateVersion {
 		return nil, fmt.Errorf("%w: %d: expected %d", ErrVersion, form.Version, stateVersion)
 	}
-	s := &State{NextRequestID: form.NextID, Policy: form.Module}
+	s := &State{LastRequestID: form.NextID, Policy: form.Module}
 	for _, m := range form.Members {
 		s.Endpoints = append(s.Endpoints, discovery.Endpoint{
 			ID: m.ID, Address: m.HostPort, Zone: m.Locality, Cell: m.Cell, Phase: m.Phase,
--- a/internal/handover/codec_test.go
+++ b/internal/handover/codec_test.go
@@ -34,8 +34,8 @@
 	}
 	want := testfill.Numbered[handoverState](testfill.Letters)
 	want.Module.Now, want.Module.Stamps = 0, nil // the older program does not have these fields
-	if got.NextRequestID != want.NextID {
-		t.Errorf("next request ID %d, want %d", got.NextRequestID, want.NextID)
+	if got.LastRequestID != want.NextID {
+		t.Errorf("last request ID %d, want %d", got.LastRequestID, want.NextID)
 	}
 	endpoints := []discovery.Endpoint{
 		{
--- a/internal/settings/parser.go
+++ b/internal/settings/parser.go
@@ -8,7 +8,8 @@
 	"sparspread/policy"
 )
 
-// parser sets the settings from a map of full keys to values.
+// parser sets the settings from a map of keys to values. A key includes the keys of the tables and the
+// indices of the lists that it is in.
 type parser struct {
 	policy.Settings
 	host   Host
--- a/policy/backendhealth.go
+++ b/policy/backendhealth.go
@@ -6,7 +6,7 @@
 	ejectionErrorRate      = 0.25       // a backend is ejected at this error rate
 	connectionFailureDecay = second     // the count of connection failures decays with this time constant
 	maxConnectionFailures  = 2.5        // a backend that may still run is ejected at this count of failures
-	unresponsiveObjectives = 1.0        // ejection follows this many shortest objectives without an answer
+	unresponsiveObjectives = 1.0        // time without an answer until ejection, in shortest objectives
 	minEjectionTime        = second / 2 // the first ejection lasts this long; a consecutive one twice as long
 	maxEjectionTime        = 4 * second // no ejection lasts longer
 )
@@ -17,7 +17,7 @@
 type backendHealth struct {
 	errorRate          float64     // the moving average of errors among the ended attempts
 	connectionFailures decayingSum // over connectionFailureDecay
-	unansweredSince    Time        // the active time since which attempts are in flight without an answer
+	unansweredSince    Time        // the clock.activeTime from which on no attempt in flight was answered
 	lastAnswerAt       Time        // the time of the last answer, successful or not; zero if there was none
 
 	isDown       bool // ejected until a health check or an attempt succeeds
@@ -165,8 +165,8 @@
 // unless it takes longer than maxEjectionTime.
 func (h *backendHealth) recordProbeStart(now Time) { h.nextProbeAt = now + maxEjectionTime }
 
-// recordFailedProbe doubles the ejection time, up to maxEjectionTime, after a failed health check, and
-// restarts the ejection. If the connection failed, the backend no longer counts as still running.
+// recordFailedProbe doubles the ejection time, up to maxEjectionTime, after a failed health check. The next
+// check is due after that time. If the connection failed, the backend no longer counts as still running.
 // recordFailedProbe does nothing if the backend is not down.
 func (h *backendHealth) recordFailedProbe(now Time, connectFailed bool) {
 	if !h.isDown {
--- a/policy/clock.go
+++ b/policy/clock.go
@@ -12,7 +12,7 @@
 	stalledTime Time // the total duration of all stalls
 	timerDue    Time // when the gossip timer is due
 	resumedAt   Time // when the last stall ended
-	startedAt   Time // zero before the first event
+	startedAt   Time // when this gateway started: the time of its first event; zero before it
 }
 
 // clockEvent is what clock.advance detected.
--- a/policy/gossip.go
+++ b/policy/gossip.go
@@ -5,8 +5,8 @@
 const (
 	faultRepeats = 8 // this many messages carry each fault report
 
-	// A replica, which is a gateway of a customer's replica set, counts as inactive if no message of it was
-	// received for this time. Its demand is then unknown.
+	// A gateway of a customer's replica set counts as inactive, and its demand as unknown, if no message from
+	// it was received for this time.
 	replicaTimeout = second / 2
 )
 
--- a/policy/quotarequests.go
+++ b/policy/quotarequests.go
@@ -11,8 +11,8 @@
 	unresponsiveTime         = second // a coordinator that did not answer is avoided for this time
 )
 
-// quotaRequests holds the requests of this gateway that wait for a coordinator's answer to a quota request,
-// and records which coordinators did not answer in time.
+// quotaRequests holds the requests of clients for which this gateway has asked a coordinator for quota and
+// has no answer yet, and records which coordinators did not answer in time.
 type quotaRequests struct {
 	pending        []*request // oldest first
 	unresponsiveAt []Time     // by gateway: when a quota request to it last timed out
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -21,8 +21,8 @@
 		window: float64(s.OverloadWindow) / float64(second), margin: 1,
 		gateways: s.Gateways, preferringGateways: s.Gateways,
 	}
-	// Within a window, a full bucket allows half a window's attempts in addition to those that refill. The
-	// margin is below OverloadFactor to leave room for them, and may therefore be below 1.
+	// A full bucket holds the attempts of half a window, so up to one and a half times the rate may be sent
+	// in one window. The margin is therefore lower than OverloadFactor, and may be below 1.
 	if s.OverloadFactor > 0 {
 		parameters.margin = overloadMargin * s.OverloadFactor
 	}
--- a/scale/internal/report/report.go
+++ b/scale/internal/report/report.go
@@ -13,7 +13,7 @@
 
 const (
 	slopeColumns       = 2   // the slope over all sizes, and over the two largest
-	minThreeDigitValue = 100 // values from here on have three digits before the decimal point
+	minThreeDigitValue = 100 // the lowest value with three digits before the decimal point
 )
 
 // Print prints a table for each experiment in the results, in the order of their first results.
