--- a/internal/gateway/command_queue_test.go
+++ b/internal/gateway/command_queue_test.go
@@ -72,6 +72,20 @@
 	h.do(t, func(g *Gateway) { g.handover.handleStateAccepted(h.link) })
 }
 
+// acceptAmidSecondCommand makes a successor accept the state while one command of a client is queued and the
+// second one is partly written. It returns the rest of the second command.
+func acceptAmidSecondCommand(t *testing.T) (h *handoverRig, c *testClient, rest string) {
+	t.Helper()
+	h, c = offerState(t)
+	const part = 20 // bytes
+	second := onceCommand(2)
+	c.write(onceCommand(1) + second[:part])
+	h.awaitQueued(t, 1)
+	h.awaitMidCommand(t)
+	h.accept(t)
+	return h, c, second[part:]
+}
+
 // exitSuccessor makes the successor exit.
 func (h *handoverRig) exitSuccessor(t *testing.T) {
 	t.Helper()
@@ -192,14 +206,10 @@
 // Guards against an exchange of answers: after the exit of a successor, the next command was answered before
 // the commands that were queued for the successor.
 func TestSuccessorExitDoesNotReorderCommands(t *testing.T) {
-	h, c := offerState(t)
-	second := onceCommand(2)
-	c.write(onceCommand(1) + second[:20])
-	h.awaitQueued(t, 1)
-	h.accept(t)
+	h, c, rest := acceptAmidSecondCommand(t)
 	h.exitSuccessor(t)
 	first := h.backend.nextCall(t) // not delayed by the second command
-	c.write(second[20:] + onceCommand(3))
+	c.write(rest + onceCommand(3))
 	next := h.backend.nextCall(t)
 	next.replyValue(t, "two")
 	first.replyValue(t, "one")
@@ -211,15 +221,11 @@
 // Guards against a late answer: a queued command waited until its client had written the next command. It is
 // refused in time, and the next command follows the connection.
 func TestQueuedCommandDoesNotWaitForSlowWriter(t *testing.T) {
-	h, c := offerState(t)
-	second := onceCommand(2)
-	c.write(onceCommand(1) + second[:20])
-	h.awaitQueued(t, 1)
-	h.accept(t)
+	h, c, rest := acceptAmidSecondCommand(t)
 	h.advanceClock(t, maxForwardDelay+sweepInterval)
 	c.wantRejected()
-	c.write(second[20:])
-	h.wantHandedOver(t, second)
+	c.write(rest)
+	h.wantHandedOver(t, onceCommand(2))
 	if len(h.backend.calls) > 0 {
 		t.Error("a refused request was sent to the backend")
 	}
