Name the phases of a takeover by what holds in them

pending, started and watching are waiting, requesting_state and predecessor_draining now, and each phase says who has the ownership. They appear in a log line only if a transition is illegal. predecessorRuns is isPredecessorDraining. The comments of the slow start's bucket and of paused dials, which a newcomer had to read twice, are reworded.

--- a/internal/gateway/backend_dial.go
+++ b/internal/gateway/backend_dial.go
@@ -11,8 +11,7 @@
 
 const (
 	// A dial that failed because of a resource shortage on this machine is repeated after firstShortagePause.
-	// The pause doubles each time. After maxShortagePauses consecutive pauses the waiting attempts end, since
-	// an attempt on another backend may succeed.
+	// The pause doubles each time. After maxShortagePauses consecutive pauses the waiting attempts end.
 	firstShortagePause = 5 * millisecond
 	maxShortagePauses  = 4
 )
@@ -109,7 +108,8 @@
 }
 
 // pauseDials repeats the dials for waiting attempts after a pause. After maxShortagePauses consecutive pauses
-// the attempts end as not sent, since a shortage on this machine says nothing about the backend.
+// the attempts end, so that other backends can be tried. They end as not sent, because a shortage on this
+// machine says nothing about the backend.
 func (bs *backends) pauseDials(b *backend) {
 	if b.dialPaused {
 		return // another dial has failed for the same reason
--- a/internal/gateway/handover_older_test.go
+++ b/internal/gateway/handover_older_test.go
@@ -52,7 +52,7 @@
 	old.replayThrough(olderAttemptAgain)
 	old.replayThrough(olderAttemptOver)
 	old.link.Close()
-	for inspectGateway(t, r, func(g *Gateway) bool { return g.takeover.predecessorRuns() }) {
+	for inspectGateway(t, r, func(g *Gateway) bool { return g.takeover.isPredecessorDraining() }) {
 		r.sync(t)
 	}
 	got := findCustomer(t, exportedState(t, r), recordedCustomer)
--- a/internal/gateway/phases_test.go
+++ b/internal/gateway/phases_test.go
@@ -97,7 +97,7 @@
 		checkPhaseTable(t, listeningTransitions, 6, listeningWaiting)
 	})
 	t.Run("takeover", func(t *testing.T) {
-		checkPhaseTable(t, takeoverTransitions, 6, takeoverNone, takeoverPending)
+		checkPhaseTable(t, takeoverTransitions, 6, takeoverNone, takeoverWaiting)
 	})
 	t.Run("handover", func(t *testing.T) {
 		checkPhaseTable(t, handoverTransitions, 3, handoverNone)
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -16,24 +16,32 @@
 type takeoverPhase uint8
 
 const (
-	takeoverNone      takeoverPhase = iota // there is no predecessor
-	takeoverPending                        // a predecessor serves; this process has its listening socket
-	takeoverStarted                        // the state was requested from the predecessor
-	takeoverWatching                       // this process serves and waits for the predecessor to exit
-	takeoverComplete                       // the predecessor has exited, or did not send its state
-	takeoverAbandoned                      // this process exits; the predecessor continues to serve
+	// There is no predecessor. This process has the ownership.
+	takeoverNone takeoverPhase = iota
+	// A predecessor has the ownership and serves. This process has its listening socket.
+	takeoverWaiting
+	// As before, but this process has requested the state.
+	takeoverRequestingState
+	// This process has the ownership and serves. The predecessor answers its open requests, and then exits.
+	takeoverPredecessorDraining
+	// This process has the ownership. The predecessor has exited, or did not send its state.
+	takeoverComplete
+	// The predecessor keeps the ownership, and this process exits.
+	takeoverAbandoned
 )
 
 // String returns the name of the phase for log messages.
 func (p takeoverPhase) String() string {
-	return [...]string{"none", "pending", "started", "watching", "complete", "abandoned"}[p]
+	return [...]string{
+		"none", "waiting", "requesting_state", "predecessor_draining", "complete", "abandoned",
+	}[p]
 }
 
 // takeoverTransitions lists the legal transitions.
 var takeoverTransitions = phase.Transitions[takeoverPhase]{
-	takeoverPending:  {takeoverStarted, takeoverAbandoned},
-	takeoverStarted:  {takeoverWatching, takeoverComplete, takeoverAbandoned},
-	takeoverWatching: {takeoverComplete},
+	takeoverWaiting:             {takeoverRequestingState, takeoverAbandoned},
+	takeoverRequestingState:     {takeoverPredecessorDraining, takeoverComplete, takeoverAbandoned},
+	takeoverPredecessorDraining: {takeoverComplete},
 }
 
 // predecessorLink is the connection to a predecessor. It is implemented by *handover.Takeover.
@@ -54,8 +62,8 @@
 	useAllResources()
 }
 
-// takeover is the handover from a predecessor to this process. It owns the link to the predecessor. Only in
-// the phases none, watching and complete does this process admit requests and grant quota. takeover is used
+// takeover is the handover from a predecessor to this process. It owns the link to the predecessor. This
+// process admits requests and grants quota only in the phases in which it has the ownership. takeover is used
 // only by the event loop's goroutine.
 type takeover struct {
 	phase   phase.Machine[takeoverPhase]
@@ -69,7 +77,7 @@
 	first := takeoverNone
 	t := &takeover{gateway: gateway}
 	if from != nil {
-		first, t.link, t.gossip = takeoverPending, from, from.GossipConn
+		first, t.link, t.gossip = takeoverWaiting, from, from.GossipConn
 	}
 	t.phase = phase.New("takeover", first, takeoverTransitions, reportIllegalTransition(log))
 	return t
@@ -79,14 +87,14 @@
 func (t *takeover) hasPredecessor() bool { return !t.phase.Is(takeoverNone) }
 
 // isPending reports whether a predecessor has the ownership and this process waits to take over.
-func (t *takeover) isPending() bool { return t.phase.Is(takeoverPending, takeoverStarted) }
+func (t *takeover) isPending() bool { return t.phase.Is(takeoverWaiting, takeoverRequestingState) }
 
-// predecessorRuns reports whether this process serves while the predecessor completes its open requests.
-func (t *takeover) predecessorRuns() bool { return t.phase.Is(takeoverWatching) }
+// isPredecessorDraining reports whether this process serves while the predecessor answers its open requests.
+func (t *takeover) isPredecessorDraining() bool { return t.phase.Is(takeoverPredecessorDraining) }
 
 // requestState requests the state from the predecessor. Only the first call has an effect.
 func (t *takeover) requestState(events handover.SuccessorEvents) {
-	if t.phase.Is(takeoverPending) && t.phase.TransitionTo(takeoverStarted) {
+	if t.phase.Is(takeoverWaiting) && t.phase.TransitionTo(takeoverRequestingState) {
 		t.link.Start(events)
 	}
 }
@@ -94,7 +102,7 @@
 // receiveState starts serving with the state of the predecessor. If state is nil, the predecessor did not
 // send it; this process then serves without a state, and does not wait for the predecessor to exit.
 func (t *takeover) receiveState(state *handover.State) {
-	next := takeoverWatching
+	next := takeoverPredecessorDraining
 	if state == nil {
 		next = takeoverComplete
 	}
@@ -109,7 +117,7 @@
 
 // handlePredecessorExited takes over the predecessor's share of the resources.
 func (t *takeover) handlePredecessorExited() {
-	if t.predecessorRuns() && t.phase.TransitionTo(takeoverComplete) {
+	if t.isPredecessorDraining() && t.phase.TransitionTo(takeoverComplete) {
 		t.gateway.useAllResources()
 	}
 }
@@ -125,7 +133,7 @@
 // close closes the link when this process exits, after which nothing more is received. The predecessor
 // continues with its open requests, as after abandon.
 func (t *takeover) close() {
-	if t.phase.Is(takeoverWatching, takeoverComplete) {
+	if t.phase.Is(takeoverPredecessorDraining, takeoverComplete) {
 		t.link.Abandon()
 	}
 }
--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -36,7 +36,7 @@
 	o.close()
 	f.wantCalls(t)
 	wantPhase(t, &o.phase, takeoverNone)
-	if o.hasPredecessor() || o.isPending() || o.predecessorRuns() {
+	if o.hasPredecessor() || o.isPending() || o.isPredecessorDraining() {
 		t.Error("the takeover has a predecessor")
 	}
 	wantIllegalTransitions(t, illegal)
@@ -45,16 +45,16 @@
 func TestTakeoverWithState(t *testing.T) {
 	log, illegal := newIllegalTransitionLog()
 	o, f := newPendingTakeover(log)
-	if !o.hasPredecessor() || !o.isPending() || o.predecessorRuns() {
+	if !o.hasPredecessor() || !o.isPending() || o.isPredecessorDraining() {
 		t.Error("the takeover is not pending")
 	}
 	o.requestState(nil)
 	o.requestState(nil) // has no effect; each further endpoint list causes another call
-	wantPhase(t, &o.phase, takeoverStarted)
+	wantPhase(t, &o.phase, takeoverRequestingState)
 	f.wantCalls(t, "Start")
 	o.receiveState(&handover.State{})
 	f.wantCalls(t, "importState", "startServing")
-	if o.isPending() || !o.predecessorRuns() {
+	if o.isPending() || !o.isPredecessorDraining() {
 		t.Error("after the state was received: takeover is pending, or the predecessor does not run")
 	}
 	o.handlePredecessorExited()
@@ -101,8 +101,8 @@
 	log, illegal := newIllegalTransitionLog()
 	o, f := newPendingTakeover(log)
 	o.receiveState(&handover.State{}) // the state was not requested yet
-	wantPhase(t, &o.phase, takeoverPending)
-	wantIllegalTransitions(t, illegal, "takeover: no transition from pending to watching")
+	wantPhase(t, &o.phase, takeoverWaiting)
+	wantIllegalTransitions(t, illegal, "takeover: no transition from waiting to predecessor_draining")
 	o.requestState(nil)
 	o.receiveState(nil)
 	f.wantCalls(t, "Start", "startServing")
@@ -110,6 +110,6 @@
 	o.abandon()
 	wantPhase(t, &o.phase, takeoverComplete)
 	f.wantCalls(t)
-	wantIllegalTransitions(t, illegal, "takeover: no transition from complete to watching",
+	wantIllegalTransitions(t, illegal, "takeover: no transition from complete to predecessor_draining",
 		"takeover: no transition from complete to abandoned")
 }
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -40,10 +40,10 @@
 }
 
 // slowStart limits the attempts that this gateway may send to one backend until the backend is warm, which it
-// is when its slow start has lasted for the configured duration and its capacity share is 1. The capacity of
-// the bucket is the number of attempts that its rate yields in half of the overload window, plus one if that
-// is less than one. An attempt is charged once, when it is written; while it waits for a connection, it is
-// reserved.
+// is when its slow start has lasted for the configured duration and its capacity share is 1. The limit is a
+// token bucket of attempts, which holds at most what its rate yields in half of the overload window, plus one
+// attempt if that is less than one. An attempt takes its token when it is written. While it waits for a
+// connection, the token is reserved.
 type slowStart struct {
 	startedAt       Time        // by the clock of this gateway; zero if unknown: the backend counts as warm
 	stamps          startStamps // of the last starts of the backend
@@ -95,9 +95,10 @@
 	return true
 }
 
-// allowsAttempt reports whether a backend with a capacity share below 1 may get one more attempt. The bucket
-// is refilled at the given rate per second, up to what the rate yields in half of the overload window, so
-// that all gateways together load the backend no more than a warm one can serve.
+// allowsAttempt reports whether a backend with a capacity share below 1 may get one more attempt. The given
+// rate, in attempts per second, follows from the share and from the rate at which warm backends answer this
+// gateway, so that all gateways together load the backend no more than it can serve. The bucket is refilled
+// at this rate or, if that is higher, at minRate, times the margin.
 func (s *slowStart) allowsAttempt(now Time, share, rate float64, parameters *slowStartParameters) bool {
 	s.bucket.rate = parameters.margin * math.Max(rate, parameters.minRate(share))
 	// If half a window yields less than one attempt, an accumulated attempt is dropped unless it is used
