--- a/internal/gateway/client_commands.go
+++ b/internal/gateway/client_commands.go
@@ -32,7 +32,7 @@
 	head := commandHead{client: c, receivedAt: g.clock.Now()}
 	switch {
 	case errors.Is(err, resp.ErrTooLarge):
-		return commandAnswered{commandHead: head, reply: errorReply(err), malformed: true}, nil
+		return &commandAnswered{commandHead: head, reply: errorReply(err), malformed: true}, nil
 	case errors.Is(err, resp.ErrProtocol):
 		return head.framingError(err), nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -53,30 +53,31 @@
 }
 
 // framingError returns the reply to input after which the start of the next command is unknown.
-func (h commandHead) framingError(err error) commandAnswered {
-	return commandAnswered{commandHead: h, reply: errorReply(err), malformed: true, framingLost: true}
+func (h *commandHead) framingError(err error) *commandAnswered {
+	return &commandAnswered{commandHead: *h, reply: errorReply(err), malformed: true, framingLost: true}
 }
 
 // parse returns the event for a command: a request, or the reply to a command that is no valid request. It
 // takes the arguments from args, because h.args is nil if they were dropped for lack of memory.
-func (h commandHead) parse(cfg *config.Config, args [][]byte) receivedCommand {
+func (h *commandHead) parse(cfg *config.Config, args [][]byte) receivedCommand {
 	name := args[command.NameArg]
 	switch {
 	case command.IsPing(name):
-		return commandAnswered{commandHead: h, reply: pongReply}
+		return &commandAnswered{commandHead: *h, reply: pongReply}
 	case !command.IsRequest(name):
-		return commandAnswered{commandHead: h, reply: errorReply(unknownCommandError(name)), malformed: true}
+		reply := errorReply(unknownCommandError(name))
+		return &commandAnswered{commandHead: *h, reply: reply, malformed: true}
 	}
 	request, err := command.Parse(cfg, args)
 	switch {
 	case err != nil:
 		// A client may still use a class that a reload has removed, which does not count as malformed.
 		malformed := !errors.Is(err, command.ErrUnknownClass)
-		return commandAnswered{commandHead: h, reply: errorReply(err), malformed: malformed}
+		return &commandAnswered{commandHead: *h, reply: errorReply(err), malformed: malformed}
 	case h.args == nil:
-		return requestDropped{commandHead: h, clientRequestID: request.RequestID}
+		return &requestDropped{commandHead: *h, clientRequestID: request.RequestID}
 	}
-	return requestReceived{commandHead: h, request: request, config: cfg}
+	return &requestReceived{commandHead: *h, request: request, config: cfg}
 }
 
 // tryReject answers a request that the gateway cannot serve with an error or a rejection, and reports whether
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -96,8 +96,8 @@
 
 // postCommand posts a command that was read, and then forwards its large body, if it has one.
 func (c *client) postCommand(g *Gateway, in *resp.Reader, e receivedCommand) readerStep {
-	answered, _ := e.(commandAnswered)
-	c.sentValidCommand = c.sentValidCommand || !answered.malformed
+	answered, isAnswered := e.(*commandAnswered)
+	c.sentValidCommand = c.sentValidCommand || !isAnswered || !answered.malformed
 	if c.sentValidCommand {
 		c.setReadDeadline(time.Time{})
 	}
@@ -108,24 +108,33 @@
 	}
 	g.events.Post(e)
 	if head.body != nil {
-		destination, ok := c.awaitDestination(g, head.body)
-		switch {
-		case !ok:
-			return readerStep{kind: stopReader}
-		case destination.unread:
-			unparsed := appendCommandHead(nil, head.args, head.body.size)
-			return readerStep{kind: stopForHandover, unparsedHead: unparsed}
-		case !c.forwardBody(g, in, head.body, destination.conn):
-			return readerStep{kind: stopReader}
+		if next := c.readBody(g, in, head); next.kind != readNext {
+			return next
 		}
 	}
-	if answered.framingLost || c.ignoreInput.Load() {
+	if isAnswered && answered.framingLost || c.ignoreInput.Load() {
 		c.readAheadWhile(g, func() { <-c.done }) // the event loop closes the connection after the last reply
 		return readerStep{kind: stopReader}
 	}
 	return readerStep{kind: readNext}
 }
 
+// readBody waits until the event loop has decided on the large body of a command that was posted, and then
+// forwards it, skips it, or leaves it to the successor.
+func (c *client) readBody(g *Gateway, in *resp.Reader, head *commandHead) readerStep {
+	destination, ok := c.awaitDestination(g, head.body)
+	switch {
+	case !ok:
+		return readerStep{kind: stopReader}
+	case destination.unread:
+		unparsed := appendCommandHead(nil, head.args, head.body.size)
+		return readerStep{kind: stopForHandover, unparsedHead: unparsed}
+	case !c.forwardBody(g, in, head.body, destination.conn):
+		return readerStep{kind: stopReader}
+	}
+	return readerStep{kind: readNext}
+}
+
 // awaitCommand waits for the first byte of a command. It returns errHandingOver if the connection is to be
 // handed over instead.
 func (c *client) awaitCommand(in *resp.Reader) error {
--- a/internal/gateway/command_queue.go
+++ b/internal/gateway/command_queue.go
@@ -47,7 +47,7 @@
 
 // canBeForwarded reports whether a successor can answer the command. It cannot if the arguments were dropped,
 // if the input is no command, or if the connection stays in this process because it is about to be closed.
-func (h commandHead) canBeForwarded() bool { return h.args != nil && !h.client.closeWhenAnswered }
+func (h *commandHead) canBeForwarded() bool { return h.args != nil && !h.client.closeWhenAnswered }
 
 // refuseQueuedCommands answers queued commands without the policy, except for the given number of commands at
 // the end of the queue.
--- a/internal/gateway/received_command.go
+++ b/internal/gateway/received_command.go
@@ -6,11 +6,11 @@
 	"sparspread/policy"
 )
 
-// receivedCommand is the event that the reader of a client posts for a command: requestReceived,
-// requestDropped or commandAnswered.
+// receivedCommand is the event that the reader of a client posts for a command: *requestReceived,
+// *requestDropped or *commandAnswered.
 type receivedCommand interface {
 	event
-	head() commandHead
+	head() *commandHead
 	// process answers the command, or passes its request to the policy.
 	process(*Gateway)
 	// refuse answers the command without the policy. A request is rejected.
@@ -26,7 +26,7 @@
 	body       *body    // a large body that has not been read yet; nil if there is none
 }
 
-func (h commandHead) head() commandHead { return h }
+func (h *commandHead) head() *commandHead { return h }
 
 // handleCommand processes a command, or queues it during a handover. A command that arrived while its
 // connection was being closed is discarded: the client sends it again.
@@ -45,10 +45,10 @@
 }
 
 // releaseInput releases the memory that a command takes as input that waits for the event loop.
-func (h commandHead) releaseInput(g *Gateway) { g.memory.inputBytes.Add(-int64(h.size)) }
+func (h *commandHead) releaseInput(g *Gateway) { g.memory.inputBytes.Add(-int64(h.size)) }
 
 // discard drops a command without an answer.
-func (h commandHead) discard(g *Gateway) {
+func (h *commandHead) discard(g *Gateway) {
 	h.releaseInput(g)
 	h.body.discard()
 	<-h.client.pipelineSlots
@@ -56,7 +56,7 @@
 
 // appendRequest appends a request for the command to the pipeline of the client. The request of a command
 // that is not forwarded only reserves the place of its reply.
-func (h commandHead) appendRequest(g *Gateway, parsed command.Request) *request {
+func (h *commandHead) appendRequest(g *Gateway, parsed command.Request) *request {
 	c := h.client
 	c.closeWhenAnswered = c.closeWhenAnswered || c.closeAfterNextCommand
 	r := &request{
@@ -86,16 +86,16 @@
 }
 
 // Handle implements event.
-func (e commandAnswered) Handle(g *Gateway) { g.handleCommand(e) }
+func (e *commandAnswered) Handle(g *Gateway) { g.handleCommand(e) }
 
 // process sends the reply after the replies to earlier commands.
-func (e commandAnswered) process(g *Gateway) {
+func (e *commandAnswered) process(g *Gateway) {
 	r := e.appendRequest(g, command.Request{})
 	e.client.countCommand(e.malformed, e.framingLost)
 	g.answer(r, e.reply)
 }
 
-func (e commandAnswered) refuse(g *Gateway) { e.process(g) }
+func (e *commandAnswered) refuse(g *Gateway) { e.process(g) }
 
 // requestDropped is a request whose arguments were dropped for lack of memory. It is answered with a
 // rejection.
@@ -105,11 +105,11 @@
 }
 
 // Handle implements event.
-func (e requestDropped) Handle(g *Gateway) { g.handleCommand(e) }
+func (e *requestDropped) Handle(g *Gateway) { g.handleCommand(e) }
 
-func (e requestDropped) process(g *Gateway) { e.refuse(g) }
+func (e *requestDropped) process(g *Gateway) { e.refuse(g) }
 
-func (e requestDropped) refuse(g *Gateway) {
+func (e *requestDropped) refuse(g *Gateway) {
 	r := e.appendRequest(g, command.Request{RequestID: e.clientRequestID})
 	g.tryReject(r, true)
 }
@@ -122,9 +122,9 @@
 }
 
 // Handle implements event.
-func (e requestReceived) Handle(g *Gateway) { g.handleCommand(e) }
+func (e *requestReceived) Handle(g *Gateway) { g.handleCommand(e) }
 
-func (e requestReceived) process(g *Gateway) {
+func (e *requestReceived) process(g *Gateway) {
 	if e.config != g.config {
 		e.parseAgain(g).process(g)
 		return
@@ -132,7 +132,7 @@
 	e.admit(g)
 }
 
-func (e requestReceived) refuse(g *Gateway) {
+func (e *requestReceived) refuse(g *Gateway) {
 	if e.config != g.config {
 		e.parseAgain(g).refuse(g)
 		return
@@ -143,10 +143,10 @@
 
 // parseAgain parses a request whose configuration was replaced by a reload, because the index of its class
 // may have changed. If the class was removed, the result is an error reply.
-func (e requestReceived) parseAgain(g *Gateway) receivedCommand { return e.parse(g.config, e.args) }
+func (e *requestReceived) parseAgain(g *Gateway) receivedCommand { return e.parse(g.config, e.args) }
 
 // admit passes a request to the policy unless the gateway itself rejects it.
-func (e requestReceived) admit(g *Gateway) {
+func (e *requestReceived) admit(g *Gateway) {
 	r := e.appendRequest(g, e.request)
 	if !g.tryReject(r, false) {
 		g.admitRequest(r, e.request.PolicyRequest, e.receivedAt)
