--- a/internal/gateway/command_queue_test.go
+++ b/internal/gateway/command_queue_test.go
@@ -230,3 +230,18 @@
 		t.Error("a refused request was sent to the backend")
 	}
 }
+
+// A reader that waits for a place in a full pipeline cannot stop, and its connection cannot be handed over.
+// The queued commands are answered here, and the rest of the input follows the connection.
+func TestFullQueueDoesNotPreventHandover(t *testing.T) {
+	h, c := offerState(t)
+	const ping, more = "*1\r\n$4\r\nPING\r\n", 5
+	c.write(strings.Repeat(ping, maxPipelined+more))
+	h.awaitQueued(t, maxPipelined)
+	h.accept(t)
+	h.advanceClock(t, maxForwardDelay+sweepInterval)
+	for range maxPipelined {
+		c.wantLine("+PONG")
+	}
+	h.wantHandedOver(t, strings.Repeat(ping, more))
+}
