Match a backend's calls by request ID where their order is not forced

Trace: two requests are sent on connections of their own, so that the third may reach the backend before the second; the test answered whichever came first and left the other open.

nextCalls returns the calls in the order of given IDs and fails for any other request. The tests answer the later request first now, which checks more of the order than before.

--- a/internal/gateway/command_queue_test.go
+++ b/internal/gateway/command_queue_test.go
@@ -118,15 +118,13 @@
 	waitForReadiness(t, second, 200)
 	_, body := largeReplyHead()
 	c.write(rest + onceCommand(2) + bodyHead(3, "team", len(body)) + body + "\r\n")
-	for id := 1; id <= 3; id++ {
-		call := b.nextCall(t)
-		if got, want := string(call.args[2]), fmt.Sprintf("%016x", id); got != want {
-			t.Fatalf("backend got request %s, want %s", got, want)
-		}
-		value := fmt.Sprint("value of request ", id)
-		call.replyValue(t, value)
-		c.wantValue(value)
-	}
+	b.nextCalls(t, 1)[0].replyValue(t, "one")
+	c.wantValue("one")
+	calls := b.nextCalls(t, 2, 3)
+	calls[1].replyValue(t, "three")
+	calls[0].replyValue(t, "two")
+	c.wantValue("two")
+	c.wantValue("three")
 	wantMetrics(t, second, "fulfilled.once=2", "throttled.once=0")
 }
 
@@ -208,14 +206,15 @@
 func TestSuccessorExitDoesNotReorderCommands(t *testing.T) {
 	h, c, rest := acceptAmidSecondCommand(t)
 	h.exitSuccessor(t)
-	first := h.backend.nextCall(t) // not delayed by the second command
+	first := h.backend.nextCalls(t, 1)[0] // not delayed by the second command
 	c.write(rest + onceCommand(3))
-	next := h.backend.nextCall(t)
-	next.replyValue(t, "two")
+	calls := h.backend.nextCalls(t, 2, 3)
+	calls[1].replyValue(t, "three")
+	calls[0].replyValue(t, "two")
 	first.replyValue(t, "one")
 	c.wantValue("one")
 	c.wantValue("two")
-	c.wantServed(h.backend, "three")
+	c.wantValue("three")
 }
 
 // Guards against a late answer: a queued command waited until its client had written the next command. It is
--- a/internal/gateway/fake_backend_test.go
+++ b/internal/gateway/fake_backend_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 
+	"sparspread/internal/command"
 	"sparspread/internal/resp"
 )
 
@@ -145,3 +147,20 @@
 	tb.Helper()
 	return wait(tb, b.calls, "a command at the backend")
 }
+
+// nextCalls waits for the next complete commands, which must be requests with the given IDs, and returns them
+// in the order of the IDs. They may arrive in any order, because each has a connection of its own.
+func (b *fakeBackend) nextCalls(tb testing.TB, ids ...int) []*backendCall {
+	tb.Helper()
+	calls := make([]*backendCall, len(ids))
+	for range ids {
+		call := b.nextCall(tb)
+		id := string(call.args[command.RequestIDArg])
+		i := slices.IndexFunc(ids, func(want int) bool { return id == fmt.Sprintf("%016x", want) })
+		if i < 0 || calls[i] != nil {
+			tb.Fatalf("backend got request %s, want each of %d once", id, ids)
+		}
+		calls[i] = call
+	}
+	return calls
+}
