Close a connection over the limit without waiting for its reader

Over the limit there is no room to keep such a connection, as before: only commands that are queued for the event loop are waited for now. A shutdown still waits for the reader.

TestClientAwaitsReply checks the case.

--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -36,11 +36,15 @@
 	}
 	// The reader posts a command and has its slot before it waits for further input.
 	wait := readerWait(c.readerWaits.Load())
-	if len(c.pipelineSlots) > 0 || wait == waitsForNoInput {
+	switch {
+	case len(c.pipelineSlots) > 0:
 		return true
-	}
-	if g.shutdown.hasAnsweredAll() || c.overLimit {
-		return false // there is no time or no room to wait for the rest of a command
+	case c.overLimit:
+		return false // there is no room to wait for more than what is queued for the event loop
+	case wait == waitsForNoInput:
+		return true
+	case g.shutdown.hasAnsweredAll():
+		return false // there is no time to wait for the rest of a command
 	}
 	return wait == waitsForRest || !c.writer.NoInput()
 }
--- a/internal/gateway/shutdown_pipeline_test.go
+++ b/internal/gateway/shutdown_pipeline_test.go
@@ -154,4 +154,5 @@
 	want(waitsForCommand, true, "input has arrived and is not read")
 	c.overLimit = true
 	want(waitsForRest, false, "too many connections are open")
+	want(waitsForNoInput, false, "too many connections are open, and the reader processes input")
 }
