Show that a request is sent after its client left behind unread input

The test forces the close, half-close and reset of a client behind input that the gateway does not read: in one case the close has arrived at the gateway's socket, in the other the receive window is shut and the client's kernel holds it back.

--- /dev/null
+++ b/internal/gateway/client_unread_input_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// unreadInput is the input that a client has written and the gateway does not read, when the client
+// disconnects.
+type unreadInput int
+
+const (
+	// The input and the disconnect have arrived.
+	unreadArrived unreadInput = iota
+	// The receive window is shut, so the client's system holds back the rest of the input and the disconnect.
+	unreadHeldBack
+)
+
+// A client disconnects while its request waits for a dial and the gateway reads no further input of it. The
+// request is not sent when the dial ends.
+func TestRequestIsNotSentAfterDisconnectBehindUnreadInput(t *testing.T) {
+	for name, unread := range map[string]unreadInput{
+		"arrived": unreadArrived, "held back": unreadHeldBack,
+	} {
+		t.Run(name, func(t *testing.T) {
+			forEachDisconnectMethod(t, notRetryable, func(w *waitingRequest) {
+				w.stopReadAhead()
+				w.writeUnread(unread)
+				w.disconnect()
+				if unread == unreadArrived {
+					w.awaitDisconnectAtSocket()
+				}
+				advanceClock(w.t, w.gateway, 100*millisecond)
+				w.completeDial()
+				if len(w.onlyBackend().idleConns) != 1 {
+					w.t.Fatal("the connection is not idle: the request was sent")
+				}
+				w.gateway.backends.closeIdleConns(w.onlyBackend())
+				_ = wait(w.t, w.backend.closed, "the connection's end")
+				if len(w.backend.calls) > 0 {
+					w.t.Error("the request was sent to the backend after its client had disconnected")
+				}
+			})
+		})
+	}
+}
+
+// stopReadAhead fills the pipeline of the client and the memory for input that is read ahead. The gateway then
+// reads no further input of the client.
+func (w *waitingRequest) stopReadAhead() {
+	w.t.Helper()
+	w.gateway.memory.inputBytes.Add(maxQueuedBytes(w.gateway.config) / readAheadDivisor)
+	w.client.write(strings.Repeat("*1\r\n$4\r\nPING\r\n", 2*maxPipelined))
+	handleUntil(w.t, w.gateway, "the pipeline to fill", func() bool {
+		isFull := func(c *client) bool { return len(c.pipeline) == maxPipelined }
+		return slices.ContainsFunc(clientList(w.gateway), isFull)
+	})
+}
+
+// writeUnread writes input that the gateway does not read.
+func (w *waitingRequest) writeUnread(unread unreadInput) {
+	w.t.Helper()
+	input := []byte(strings.Repeat("*1\r\n$4\r\nPING\r\n", 512))
+	if unread == unreadArrived {
+		w.client.write(string(input))
+		return
+	}
+	raw, err := w.client.conn.SyscallConn()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	err = raw.Control(func(socket uintptr) {
+		for err == nil {
+			_, err = unix.Write(int(socket), input)
+		}
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// awaitDisconnectAtSocket waits until the gateway's socket shows that the client has disconnected.
+func (w *waitingRequest) awaitDisconnectAtSocket() {
+	w.t.Helper()
+	raw, err := clientList(w.gateway)[0].conn.SyscallConn()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	shown := false
+	for until := time.Now().Add(testTimeout); !shown; {
+		if time.Now().After(until) {
+			w.t.Fatal("timed out waiting for the disconnect to arrive")
+		}
+		err := raw.Control(func(socket uintptr) {
+			polled := []unix.PollFd{{Fd: int32(socket), Events: unix.POLLRDHUP}}
+			n, _ := unix.Poll(polled, 1)
+			shown = n > 0
+		})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
