Log why a client's connection was closed, and one of the requests it left open

The logs of the incident say nothing of clients that leave: closes were counted only for evictions. The clients line now counts closes by reason, clients that left with an open request, the longest time from the detection of a close until it was handled, and how often reading ahead stopped at each of its two limits. The new line 'cancelled' shows one request in five seconds that ended with its connection. No decision changes.

--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -73,17 +73,30 @@
 		g.events.After(lingerTime, lingerTimer{client: t.client, extensions: t.extensions + 1})
 		return
 	}
-	t.client.closeNow(g)
+	t.client.close(g, clientAnswered)
 }
 
-// closeNow closes the connection at once, as if the peer had closed it.
-func (c *client) closeNow(g *Gateway) { clientDisconnected{client: c}.Handle(g) }
-
-// clientDisconnected reports that a client has closed its connection. Its open requests are cancelled.
-type clientDisconnected struct{ client *client }
+// clientDisconnected reports that a client has closed its connection.
+type clientDisconnected struct {
+	client     *client
+	detectedAt policy.Time
+}
 
+// Handle implements event.
 func (e clientDisconnected) Handle(g *Gateway) {
-	c := e.client
+	counts := &g.clients.counts
+	counts.longestDisconnect = max(counts.longestDisconnect, g.events.Now()-e.detectedAt)
+	e.client.close(g, clientLeft)
+}
+
+// repliesUnread reports that a client has left too many replies unread.
+type repliesUnread struct{ client *client }
+
+// Handle implements event.
+func (e repliesUnread) Handle(g *Gateway) { e.client.close(g, clientRepliesUnread) }
+
+// close closes the connection at once and cancels its open requests. Only the first call has an effect.
+func (c *client) close(g *Gateway, reason clientCloseReason) {
 	if c.closed {
 		return
 	}
@@ -92,23 +105,25 @@
 	_ = c.conn.Close() // a failed close needs no handling
 	delete(g.clients.conns, c)
 	<-g.clients.slots
+	g.clients.counts.countClose(reason, len(c.pipeline) > 0)
 	c.discardQueuedCommands(g)
 	now := g.events.Now()
 	for _, r := range c.pipeline {
-		g.cancelRequest(r, now)
+		g.cancelRequest(r, reason, now)
 	}
 	c.pipeline = nil
 	g.shutdown.stopIfIdle()
 }
 
-// cancelRequest ends a request whose client has disconnected.
-func (g *Gateway) cancelRequest(r *request, now policy.Time) {
+// cancelRequest ends a request whose connection is closed.
+func (g *Gateway) cancelRequest(r *request, reason clientCloseReason, now policy.Time) {
 	g.cancelValueTransfer(r)
 	g.abortBody(r)
 	g.memory.retainedBytes -= len(r.reply)
 	if r.answered {
 		return
 	}
+	g.traceCancelled(r, reason)
 	g.markAnswered(r)
 	g.controller.RequestCancelled(now, r.id)
 	g.releaseRequest(r)
--- a/internal/gateway/client_eviction.go
+++ b/internal/gateway/client_eviction.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	cs.counts.countEviction(victim)
-	victim.closeNow(g)
+	victim.close(g, clientEvicted)
 	return true
 }
 
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -183,7 +183,7 @@
 // requests, even before the event loop handles the event.
 func (c *client) reportDisconnect(g *Gateway) {
 	c.disconnected.Store(true)
-	g.events.Post(clientDisconnected{client: c})
+	g.events.Post(clientDisconnected{client: c, detectedAt: g.clock.Now()})
 }
 
 // setReadDeadline sets the time by which input has to arrive. A zero deadline removes the limit.
--- a/internal/gateway/client_read_ahead.go
+++ b/internal/gateway/client_read_ahead.go
@@ -40,7 +40,15 @@
 // for input that is not read ahead. Until the wait is over, the end of the connection is then not detected.
 func (c *client) readAhead(g *Gateway, waitOver <-chan struct{}) {
 	maxQueued := maxQueuedBytes(g.publishedConfig.Load()) / readAheadDivisor
-	for len(c.readAheadInput) < maxReadAhead && g.memory.inputBytes.Load() < maxQueued {
+	for {
+		switch {
+		case len(c.readAheadInput) >= maxReadAhead:
+			g.clients.readAhead.connectionFull.Add(1)
+			return
+		case g.memory.inputBytes.Load() >= maxQueued:
+			g.clients.readAhead.memoryFull.Add(1)
+			return
+		}
 		err := c.readAheadOnce(g)
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/gateway/client_reply.go
+++ b/internal/gateway/client_reply.go
@@ -13,7 +13,7 @@
 	}
 	c.pipeline = slices.Delete(c.pipeline, 0, answered)
 	if !c.closed && len(replies) > 0 && !c.writer.Send(replies, maxUnreadReply) {
-		g.events.Defer(clientDisconnected{client: c})
+		g.events.Defer(repliesUnread{client: c})
 	}
 	if len(c.pipeline) == 0 {
 		c.closeIfAnswered(g)
--- /dev/null
+++ b/internal/gateway/client_report.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"sync/atomic"
+
+	"sparspread/policy"
+)
+
+// clientCloseReason is the reason why the connection of a client was closed.
+type clientCloseReason int
+
+const (
+	clientLeft            clientCloseReason = iota // the client closed or reset it
+	clientAnswered                                 // all commands were answered, and it was to be closed
+	clientIdle                                     // it was idle for too long
+	clientEvicted                                  // it was closed to make room for another one
+	clientRepliesUnread                            // the client left too many replies unread
+	clientValueIncomplete                          // a large value could not be forwarded completely
+	clientCloseReasonCount
+)
+
+// String returns the name of the reason in the log.
+func (r clientCloseReason) String() string {
+	return [clientCloseReasonCount]string{
+		"by_client", "answered", "idle_timeout", "evicted", "replies_unread", "value_incomplete",
+	}[r]
+}
+
+// clientCounts counts connections and rejections since they were last logged.
+type clientCounts struct {
+	startedAt policy.Time // when counting started: the time of the last log message
+	accepted  int
+
+	closedBeforeInput int // evicted before any input arrived
+	closedMidCommand  int // evicted before the first command was complete
+	closedIdle        int // evicted while idle after a reply
+
+	rejectedOverLimit  int // requests rejected because of too many connections
+	rejectedOverMemory int // requests rejected because of other limits, such as memory
+
+	longestAccept policy.Time // longest time from accept until the event loop handled the connection
+
+	closed              [clientCloseReasonCount]int
+	leftWithOpenRequest int         // clients that closed their connection while a request was open
+	longestDisconnect   policy.Time // longest time from a close's detection until it was handled
+}
+
+// readAheadCounts counts why reading ahead has stopped, since the counts were last logged. It is safe for any
+// goroutine.
+type readAheadCounts struct {
+	connectionFull atomic.Int64 // the input that is read ahead on the connection has reached its limit
+	memoryFull     atomic.Int64 // the input of all connections has reached its limit
+}
+
+const clientReportInterval = 5 * second
+
+// countClose counts a closed connection.
+func (counts *clientCounts) countClose(reason clientCloseReason, hasOpenRequest bool) {
+	counts.closed[reason]++
+	if reason == clientLeft && hasOpenRequest {
+		counts.leftWithOpenRequest++
+	}
+}
+
+// closedAttributes returns the log attributes of the reasons for which connections were closed.
+func (counts *clientCounts) closedAttributes() []any {
+	var attributes []any
+	for reason, count := range counts.closed {
+		if count > 0 {
+			attributes = append(attributes, "closed_"+clientCloseReason(reason).String(), count)
+		}
+	}
+	return attributes
+}
+
+// logCounts logs and resets the counts once per clientReportInterval.
+func (cs *clients) logCounts(g *Gateway) {
+	counts, now := &cs.counts, g.events.Now()
+	if now-counts.startedAt < clientReportInterval {
+		return
+	}
+	cs.writeCounts(g)
+	g.backends.logCounts(g.log)
+	*counts = clientCounts{startedAt: now}
+}
+
+// writeCounts writes the counts to the log.
+func (cs *clients) writeCounts(g *Gateway) {
+	counts := &cs.counts
+	attributes := []any{
+		"accepted", counts.accepted, "open", len(cs.conns), "limit", cs.limit,
+		"closed_silent", counts.closedBeforeInput, "closed_mid_command", counts.closedMidCommand,
+		"closed_idle", counts.closedIdle, "rejected_over_limit", counts.rejectedOverLimit,
+		"rejected_over_memory", counts.rejectedOverMemory, "longest_accept_us", counts.longestAccept,
+		"dialed_backends", g.backends.counts.dials, "to_backends", g.backends.openConns,
+	}
+	attributes = append(attributes, counts.closedAttributes()...)
+	attributes = append(attributes,
+		"left_with_open_request", counts.leftWithOpenRequest,
+		"longest_disconnect_us", counts.longestDisconnect,
+		"read_ahead_connection_full", cs.readAhead.connectionFull.Swap(0),
+		"read_ahead_memory_full", cs.readAhead.memoryFull.Swap(0))
+	g.log.Info("clients", attributes...)
+}
--- a/internal/gateway/client_unread_input_test.go
+++ b/internal/gateway/client_unread_input_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// stopReadAhead fills the pipeline of the client and the memory for input that is read ahead. The gateway then
-// reads no further input of the client.
+// stopReadAhead fills the pipeline of the client and the memory for input that is read ahead. The gateway
+// then reads no further input of the client.
 func (w *waitingRequest) stopReadAhead() {
 	w.t.Helper()
 	w.gateway.memory.inputBytes.Add(maxQueuedBytes(w.gateway.config) / readAheadDivisor)
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -188,7 +188,7 @@
 	if err != nil {
 		g.log.Info("value incomplete", "id", string(r.args[command.RequestIDArg]), "error", err)
 		r.metrics.Failed.Add(1)
-		r.client.closeNow(g)
+		r.client.close(g, clientValueIncomplete)
 		return
 	}
 	r.metrics.Served.Add(1)
