--- a/cmd/gateway/hanging_test.go
+++ b/cmd/gateway/hanging_test.go
@@ -36,11 +36,8 @@
 		tb.Fatal(err)
 	}
 	ip, port := addressAndPort.Addr().As4(), int(addressAndPort.Port())
-	// The filter truncates each packet to 0 bytes, which drops it. It is attached before the socket listens,
-	// so that no dial can succeed.
-	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
 	err = errors.Join(
-		unix.SetsockoptSockFprog(socket, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll),
+		attachDropFilter(socket), // before the socket listens, so that no dial can succeed
 		unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1),
 		unix.Bind(socket, &unix.SockaddrInet4{Port: port, Addr: ip}),
 		unix.Listen(socket, 0),
@@ -51,6 +48,12 @@
 	return &hangingListener{address: addressAndPort, socket: socket}
 }
 
+// attachDropFilter makes a socket drop all packets: the filter truncates each of them to 0 bytes.
+func attachDropFilter(socket int) error {
+	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	return unix.SetsockoptSockFprog(socket, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &dropAll)
+}
+
 // isDialed reports whether a dial to the listener hangs: the kernel's table then has a connection to its
 // address in the state SYN_SENT, which is written as 02.
 func (h *hangingListener) isDialed() bool {
--- /dev/null
+++ b/cmd/gateway/soak_client_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The classes of the requests of a soak.
+const (
+	soakClassSafe   = "track" // may run several times
+	soakClassUnsafe = "book"  // must not run twice
+)
+
+// soakRequest is a request and what its client has seen of it.
+type soakRequest struct {
+	id       string
+	class    string
+	bodySize int           // zero for a class that is safe
+	timeout  time.Duration // how long the client waits
+	client   *soakClient
+
+	// Set by the client.
+	sentAt time.Time // when the last byte was written; zero if it was not
+}
+
+// encode returns the command of the request.
+func (r *soakRequest) encode() string {
+	fields := fmt.Sprintf("c=%s,t=business,d=%d,units=1,spread=1,first=0", r.class, r.timeout.Milliseconds())
+	args := []string{"API.READ", "0000000000000007", r.id, fields}
+	if r.class == soakClassUnsafe {
+		args = append(args, strings.Repeat("b", r.bodySize))
+		args[0] = "API.WRITE"
+	}
+	return encodeCommand(args...)
+}
+
+// encodeCommand returns the encoding of a command.
+func encodeCommand(args ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "*%d\r\n", len(args))
+	for _, arg := range args {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(arg), arg)
+	}
+	return b.String()
+}
+
+// soakClient is the connection of a client.
+type soakClient struct {
+	conn *net.TCPConn
+
+	mu       sync.Mutex // guards the fields below, and the requests
+	requests []*soakRequest
+	closedAt time.Time // when the client closed the connection; zero if it did not
+}
+
+// dialSoakClient connects a client.
+func dialSoakClient(address string) (*soakClient, error) {
+	conn, err := dial("tcp", address, waitTimeout)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, net.UnknownNetworkError("connection is not TCP")
+	}
+	return &soakClient{conn: tcp}, nil
+}
+
+// write writes requests behind each other in one piece, and then further input.
+func (c *soakClient) write(requests []*soakRequest, behind string) {
+	var text strings.Builder
+	c.mu.Lock()
+	for _, r := range requests {
+		r.client = c
+		text.WriteString(r.encode())
+		c.requests = append(c.requests, r)
+	}
+	c.mu.Unlock()
+	text.WriteString(behind)
+	c.writePieces(text.String(), requests, text.Len(), 0)
+}
+
+// writePieces writes text in pieces with a pause after each, and records that the requests were sent.
+func (c *soakClient) writePieces(text string, requests []*soakRequest, size int, pause time.Duration) {
+	for len(text) > 0 {
+		n := min(size, len(text))
+		if _, err := io.WriteString(c.conn, text[:n]); err != nil {
+			return
+		}
+		text = text[n:]
+		time.Sleep(pause)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range requests {
+		r.sentAt = time.Now()
+	}
+}
+
+// departure is how a client leaves.
+type departure int
+
+// The departures.
+const (
+	departClose  departure = iota // closes the connection
+	departReset                   // resets the connection
+	departShut                    // closes its sending side
+	departNumber                  // the number of departures
+)
+
+// String returns the name of the departure.
+func (d departure) String() string { return [departNumber]string{"close", "reset", "shut"}[d] }
+
+// leave ends the connection and records when.
+func (c *soakClient) leave(how departure) {
+	switch how {
+	case departReset:
+		_ = c.conn.SetLinger(0)
+		_ = c.conn.Close()
+	case departShut:
+		_ = c.conn.CloseWrite()
+	default:
+		_ = c.conn.Close()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closedAt = time.Now()
+}
