Begin no attempt for a client that has left, or may have left, behind unread input

Cause: the end of a connection was detected only by reading, and reading ahead stopped at 128 KiB of one connection or at the common limit. A close behind that, or one that the client's kernel held back because the receive window was shut, was not seen, and attempts that waited for a dial or were retried began. Evidence: the counters of the reproduction (read_ahead_connection_full for each connection, longest_disconnect_us below 0.1 ms).

Class: a peer's state was taken from how far its input had been read. The fix asks the kernel right before each attempt (POLLRDHUP behind unread input). If so much is unread that a close may be held back (SO_MEMINFO), and the client was not seen for 50 ms, no attempt begins: the request is rejected, or fails if it may have run. So that this stays rare, input is read ahead as long as memory is free: each connection may use as much as is left.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -21,6 +21,7 @@
 	timeout        *timer
 	redialed       bool // its dial was reset and has been repeated
 	dialUnanswered bool // its dial was not answered in time
+	clientUnseen   bool // it was not begun, because it was not known whether the client had left
 	ended          bool // its outcome is decided
 	fullyWritten   bool // the last byte of the request was written
 }
@@ -45,18 +46,16 @@
 	a.backend = number
 	b := bs.byNumber[number]
 	a.timeout = bs.events.Schedule(a.expiresAt, attemptTimeout{attempt: a})
-	if b == nil || b.state != policy.EndpointReady || !a.canBeSent() {
+	if b == nil || b.state != policy.EndpointReady || !a.hasBody() || !bs.attempts.mayBegin(a) {
 		bs.endAttempt(a, policy.ResultNotSent)
 		return false
 	}
 	return bs.assignAttempt(b, a)
 }
 
-// canBeSent reports whether the client is still connected and the request has no large body that was assigned
-// to an earlier attempt. Large bodies are not kept for further attempts.
-func (a *attempt) canBeSent() bool {
-	return a.request == nil || a.request.body.isUnassigned() && !a.request.client.disconnected.Load()
-}
+// hasBody reports whether the body of the request is available: it is small, or was not assigned to an
+// earlier attempt. Large bodies are not kept for further attempts.
+func (a *attempt) hasBody() bool { return a.request == nil || a.request.body.isUnassigned() }
 
 // attemptTimeout ends an attempt that has timed out, and closes its connection.
 type attemptTimeout struct{ attempt *attempt }
@@ -129,7 +128,8 @@
 	g.reportOutcome(policy.Outcome{
 		RequestID: r.id, Attempt: e.attempt.number, Backend: e.attempt.backend, Result: e.result,
 		Latency: e.latency, ClientAnswered: r.answered || r.valueStarted || r.client.disconnected.Load(),
-		DialUnanswered: e.attempt.dialUnanswered, ActualCost: e.cost, LoadReport: e.loadReport,
+		ClientUnseen: e.attempt.clientUnseen, DialUnanswered: e.attempt.dialUnanswered,
+		ActualCost: e.cost, LoadReport: e.loadReport,
 	})
 	g.releaseRequest(r)
 }
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -54,6 +54,8 @@
 
 // attemptSource has the operations of the gateway that backends need to send attempts.
 type attemptSource interface {
+	// mayBegin reports whether the client of an attempt is connected, as far as that is known.
+	mayBegin(*attempt) bool
 	// isAttemptWanted reports whether to send an attempt that has waited for a connection.
 	isAttemptWanted(*attempt) bool
 	// attemptCommand returns the bytes to write for an attempt, without a large body.
--- a/internal/gateway/backend_pool.go
+++ b/internal/gateway/backend_pool.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"sparspread/internal/sockstate"
 	"sparspread/policy"
 )
 
@@ -29,7 +30,7 @@
 // the last reply. It would be mistaken for the reply to the next request. A closed connection counts as
 // well.
 func (c *backendConn) hasUnsolicitedInput() bool {
-	return c.bytesRead.Load() != c.bytesConsumed || !c.writer.NoInput()
+	return c.bytesRead.Load() != c.bytesConsumed || sockstate.Receive(c.writer.RawConn()) != sockstate.Empty
 }
 
 // assignAttempt writes an attempt to an idle connection. If there is none, the attempt waits for a
@@ -154,7 +155,7 @@
 	if r == nil {
 		return true
 	}
-	return !r.client.disconnected.Load() && g.controller.ConfirmSend(g.events.Now(), r.id, a.number)
+	return g.mayBegin(a) && g.controller.ConfirmSend(g.events.Now(), r.id, a.number)
 }
 
 // addIdleConn keeps a connection for a later attempt.
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -7,6 +7,7 @@
 
 	"sparspread/internal/eventloop"
 	"sparspread/internal/resp"
+	"sparspread/internal/sockstate"
 	"sparspread/internal/sockwriter"
 	"sparspread/policy"
 )
@@ -33,8 +34,9 @@
 
 	// Shared by the event loop and the reader goroutine.
 	ignoreInput  atomic.Bool  // set by the event loop: further input is not parsed
-	disconnected atomic.Bool  // set by the reader: the peer has closed; clientDisconnected may be queued
+	disconnected atomic.Bool  // the peer has closed; clientDisconnected may be queued
 	lastInputAt  atomic.Int64 // set by the reader: when input last arrived; zero if none has
+	lastSeenAt   atomic.Int64 // when the client was last known to be connected; see client_presence.go
 	readerWaits  atomic.Int32 // set by the reader: a readerWait
 	handingOver  atomic.Bool  // set by the event loop: the reader stops before the next command
 
@@ -55,11 +57,12 @@
 	unparsedInput  []byte            // input that the reader had received but not parsed when it stopped
 
 	// Used only by the reader goroutine.
-	inheritedInput   []byte    // read but not processed by a predecessor
-	readAheadInput   []byte    // read while the reader was waiting; counted in queuedBytes
-	midCommand       bool      // part of a command has arrived
-	sentValidCommand bool      // a well-formed command was read
-	commandDeadline  time.Time // time by which the current command has to be complete
+	socket           *sockstate.Reader
+	inheritedInput   []byte      // read but not processed by a predecessor
+	readAheadInput   inputBuffer // read while the reader was waiting; counted in queuedBytes
+	midCommand       bool        // part of a command has arrived
+	sentValidCommand bool        // a well-formed command was read
+	commandDeadline  time.Time   // time by which the current command has to be complete
 }
 
 // idleTimeout returns how long the connection may be open without a request.
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -21,11 +21,13 @@
 	cs.counts.accepted++
 	cs.counts.longestAccept = max(cs.counts.longestAccept, time.Since(e.openedAt).Microseconds())
 	c := &client{
-		conn: e.conn, writer: sockwriter.New(e.conn), openedAt: e.openedAt, clock: g.clock,
+		conn: e.conn, writer: sockwriter.New(e.conn), socket: newSocketReader(e.conn),
+		openedAt: e.openedAt, clock: g.clock,
 		pipelineSlots: make(chan struct{}, maxPipelined), done: make(chan struct{}),
 		queuedBytes: &g.memory.inputBytes, lastCommandAt: now,
 		commandCount: e.commandCount, inheritedInput: e.inheritedInput,
 	}
+	c.lastSeenAt.Store(lastSeenBeforeAccept(c.writer.RawConn(), now, e.openedAt))
 	cs.conns[c] = true
 	// A connection that is accepted from the backlog during a shutdown gets a reply to one command only.
 	c.closeAfterNextCommand = g.shutdown.isClosing()
--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "sparspread/policy"
+import (
+	"sparspread/internal/sockstate"
+	"sparspread/policy"
+)
 
 const (
 	// After the last reply the peer has lingerTime to close the connection, or lingerAfterError if the reply
@@ -46,7 +49,7 @@
 	case g.shutdown.hasAnsweredAll():
 		return false // there is no time to wait for the rest of a command
 	}
-	return wait == waitsForRest || !c.writer.NoInput()
+	return wait == waitsForRest || sockstate.Receive(c.writer.RawConn()) != sockstate.Empty
 }
 
 // closeWrite closes the sending side and gives the peer some time to close the connection first. Closing it
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -155,7 +155,10 @@
 // takeUnparsedInput returns the input that was received but not parsed, in the order of its arrival: the
 // given start of a command, what the parser has buffered, and the rest of what was inherited or read ahead.
 func (c *client) takeUnparsedInput(in *resp.Reader, commandHead []byte) []byte {
-	return slices.Concat(commandHead, in.TakeBuffered(), c.inheritedInput, c.readAheadInput)
+	size := int64(c.readAheadInput.size)
+	unparsed := slices.Concat(commandHead, in.TakeBuffered(), c.inheritedInput, c.readAheadInput.takeAll())
+	c.queuedBytes.Add(-size)
+	return unparsed
 }
 
 // acquirePipelineSlot waits for a slot in the pipeline. It returns false if the connection has ended.
@@ -200,7 +203,7 @@
 		c.inheritedInput = c.inheritedInput[n:]
 		return n, nil
 	}
-	if len(c.readAheadInput) > 0 {
+	if c.readAheadInput.size > 0 {
 		return c.consumeReadAhead(b), nil
 	}
 	return c.readFromConn(b)
@@ -213,14 +216,11 @@
 		wait = waitsForRest
 	}
 	c.readerWaits.Store(int32(wait))
-	n, err := c.conn.Read(b)
-	if n > 0 {
-		c.lastInputAt.Store(c.clock.Now())
-	}
+	n, err := c.readSocket(b)
 	interrupted := n == 0 && c.midCommand && c.handingOver.Load() && errors.Is(err, os.ErrDeadlineExceeded)
 	if interrupted && time.Now().Before(c.commandDeadline) {
 		c.setReadDeadline(c.commandDeadline)
-		n, err = c.conn.Read(b)
+		n, err = c.readSocket(b)
 	}
 	c.readerWaits.Store(int32(waitsForNoInput))
 	return n, err
--- a/internal/gateway/client_read_ahead.go
+++ b/internal/gateway/client_read_ahead.go
@@ -4,19 +4,16 @@
 	"errors"
 	"net"
 	"os"
-	"slices"
 	"time"
-
-	"sparspread/internal/resp"
 )
 
 const (
-	maxReadAhead  = 2 * resp.MaxValue // maximum number of bytes that are read ahead
-	readAheadStep = 4096              // minimum number of bytes by which the buffer grows
-
-	// Reading ahead stops when queued input takes 1/readAheadDivisor of its limit, so that the rest is left
-	// for input that is not read ahead.
+	// Input that is read ahead may take 1/readAheadDivisor of the limit of queued input. The rest is for
+	// input that is not read ahead.
 	readAheadDivisor = 2
+
+	// If there is no memory to read ahead, the reader tries again after readAheadPause.
+	readAheadPause = 20 * time.Millisecond
 )
 
 // readAheadWhile calls wait, which may block, in the reader goroutine. Meanwhile another goroutine reads
@@ -35,21 +32,29 @@
 	c.setReadDeadline(time.Time{})
 }
 
-// readAhead buffers input for the reader until the reader's wait is over. It stops earlier if it has buffered
-// maxReadAhead bytes, or if the queued input of all connections takes half of its limit: the other half is
-// for input that is not read ahead. Until the wait is over, the end of the connection is then not detected.
+// readAhead buffers input for the reader until the reader's wait is over or the connection ends. While there
+// is no memory for it, it reads nothing; the end of the connection is then detected by client.presence.
 func (c *client) readAhead(g *Gateway, waitOver <-chan struct{}) {
-	maxQueued := maxQueuedBytes(g.publishedConfig.Load()) / readAheadDivisor
-	for {
-		switch {
-		case len(c.readAheadInput) >= maxReadAhead:
-			g.clients.readAhead.connectionFull.Add(1)
-			return
-		case g.memory.inputBytes.Load() >= maxQueued:
-			g.clients.readAhead.memoryFull.Add(1)
+	for c.readAheadUntilFull(g, waitOver) {
+		g.clients.readAheadFull.Add(1)
+		select {
+		case <-waitOver:
 			return
+		case <-time.After(readAheadPause):
+		}
+	}
+}
+
+// readAheadUntilFull buffers input until the reader's wait is over or the connection ends. It stops earlier,
+// and returns true, if there is no memory for more.
+func (c *client) readAheadUntilFull(g *Gateway, waitOver <-chan struct{}) (full bool) {
+	for {
+		limit := c.readAheadLimit(g)
+		if limit <= 0 {
+			return true
 		}
-		err := c.readAheadOnce(g)
+		n, err := c.readAheadInput.fillOnce(c.readSocket, limit)
+		g.memory.inputBytes.Add(int64(n))
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			// If the wait is not over, the deadline was set earlier or for a handover, and reading ahead
@@ -58,39 +63,29 @@
 			// deadline that ends this goroutine cannot be lost.
 			c.setReadDeadline(time.Time{})
 			if isClosed(waitOver) {
-				return
+				return false
 			}
 		case errors.Is(err, net.ErrClosed):
-			return // closed by this gateway
+			return false // closed by this gateway
 		case err != nil:
 			c.reportDisconnect(g)
-			return
+			return false
 		}
 	}
 }
 
-// readAheadOnce appends the result of one read to the buffer, and adds its size to memoryUse.inputBytes.
-func (c *client) readAheadOnce(g *Gateway) error {
-	length := len(c.readAheadInput)
-	if length == cap(c.readAheadInput) {
-		growth := min(max(readAheadStep, length), maxReadAhead-length)
-		c.readAheadInput = slices.Grow(c.readAheadInput, growth)
-	}
-	n, err := c.conn.Read(c.readAheadInput[length:min(cap(c.readAheadInput), maxReadAhead)])
-	n = max(n, 0)
-	c.readAheadInput = c.readAheadInput[:length+n]
-	g.memory.inputBytes.Add(int64(n))
-	return err
+// readAheadLimit returns how many further bytes may be read ahead. A connection may use as much memory as is
+// left free, so that the first connections cannot use all of it.
+func (c *client) readAheadLimit(g *Gateway) int {
+	memory := maxQueuedBytes(g.publishedConfig.Load()) / readAheadDivisor
+	free := int(memory - g.memory.inputBytes.Load())
+	return free - c.readAheadInput.size
 }
 
 // consumeReadAhead moves buffered input to b and returns the number of bytes. It subtracts them from
 // queuedBytes, which is memoryUse.inputBytes.
 func (c *client) consumeReadAhead(b []byte) int {
-	n := copy(b, c.readAheadInput)
-	c.readAheadInput = c.readAheadInput[n:]
-	if len(c.readAheadInput) == 0 {
-		c.readAheadInput = nil // so that an idle connection has no buffer
-	}
+	n := c.readAheadInput.take(b)
 	c.queuedBytes.Add(-int64(n))
 	return n
 }
@@ -98,6 +93,6 @@
 // discardReadAhead drops the buffered input when the reader ends, and subtracts its size from
 // memoryUse.inputBytes.
 func (c *client) discardReadAhead(g *Gateway) {
-	g.memory.inputBytes.Add(-int64(len(c.readAheadInput)))
-	c.readAheadInput = nil
+	g.memory.inputBytes.Add(-int64(c.readAheadInput.size))
+	c.readAheadInput = inputBuffer{}
 }
--- a/internal/gateway/client_read_ahead_test.go
+++ b/internal/gateway/client_read_ahead_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"strings"
 	"testing"
@@ -19,7 +21,7 @@
 		fmt.Fprintf(&text, "*1\r\n$5\r\nX%04d\r\n*1\r\n$4\r\nPING\r\n", i)
 	}
 	c.write(text.String())
-	for r.gateway.memory.inputBytes.Load() < maxReadAhead/2 { // wait until input was read ahead
+	for r.gateway.memory.inputBytes.Load() < 64<<10 { // wait until input was read ahead
 		runtime.Gosched()
 	}
 	call.replyValue(t, "ok")
@@ -33,26 +35,84 @@
 	}
 }
 
-// The size of the input that is read ahead is limited for each connection and for all connections.
+// The input that is read ahead on all connections is limited, and a single connection leaves half of the
+// memory to others.
 func TestReadAheadIsBounded(t *testing.T) {
 	g := newTestGateway(t, newFakeDiscovery(t))
 	g.listening.resume()
 	t.Cleanup(g.listening.pause)
-	far := dialClient(t, g.listening.listener.Addr().String())
-	near := eventAs[clientConnected](t, wait(t, g.events.Queue(), "the connection")).conn
-	defer func() { _ = near.Close() }()
-	go func() { _, _ = far.conn.Write(make([]byte, 2*maxReadAhead)) }()
-	limit := maxQueuedBytes(g.config) / 2
+	limit := maxQueuedBytes(g.config) / readAheadDivisor
+	first, second := connectFlooding(t, g, limit), connectFlooding(t, g, limit)
 	g.memory.inputBytes.Store(limit)
-	c := &client{conn: near}
-	if c.readAhead(g, nil); len(c.readAheadInput) != 0 {
-		t.Errorf("without free memory: got %d bytes read, want 0", len(c.readAheadInput))
+	if full := first.readAheadUntilFull(g, nil); !full || first.readAheadInput.size != 0 {
+		t.Errorf("without free memory: got %d bytes read, want 0", first.readAheadInput.size)
 	}
 	g.memory.inputBytes.Store(0)
-	c.readAhead(g, nil)
-	length, capacity, counted := len(c.readAheadInput), cap(c.readAheadInput), g.memory.inputBytes.Load()
-	if length != maxReadAhead || capacity > maxReadAhead+maxReadAhead/4 || counted != maxReadAhead {
-		t.Errorf("got %d bytes, buffer of %d, %d counted; want %d", length, capacity, counted, maxReadAhead)
+	used := int64(0)
+	for i, c := range []*client{first, second} {
+		free := limit - used
+		if full := c.readAheadUntilFull(g, nil); !full {
+			t.Fatal("read to the end, want a stop at the limit")
+		}
+		size, counted := int64(c.readAheadInput.size), g.memory.inputBytes.Load()
+		used += size
+		if size != free/2 || counted != used || c.readAheadInput.capacity() > size+maxInputChunk {
+			t.Errorf("connection %d: got %d bytes, %d in memory, %d counted; want %d of %d free",
+				i, size, c.readAheadInput.capacity(), counted, free/2, free)
+		}
+	}
+	first.discardReadAhead(g)
+	second.discardReadAhead(g)
+	if n := g.memory.inputBytes.Load(); n != 0 {
+		t.Errorf("got %d bytes counted at the end, want 0", n)
+	}
+}
+
+// connectFlooding connects a client that writes the given number of bytes, and returns the connection without
+// a reader.
+func connectFlooding(t *testing.T, g *Gateway, size int64) *client {
+	t.Helper()
+	far := dialClient(t, g.listening.listener.Addr().String())
+	near := eventAs[clientConnected](t, wait(t, g.events.Queue(), "the connection")).conn
+	t.Cleanup(func() { _ = near.Close() })
+	go func() { _, _ = far.conn.Write(make([]byte, size)) }()
+	return &client{conn: near, clock: g.clock, socket: newSocketReader(near)}
+}
+
+// capacity returns the number of bytes that the buffer occupies.
+func (b *inputBuffer) capacity() (total int64) {
+	for _, chunk := range b.chunks {
+		total += int64(cap(chunk))
+	}
+	return total
+}
+
+// Input is taken from a buffer in the order in which it was added, in pieces of any size.
+func TestInputBufferKeepsOrder(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var b inputBuffer
+	var added, taken []byte
+	for len(added) < 1<<20 {
+		_, err := b.fillOnce(func(free []byte) (int, error) {
+			n := random.IntN(len(free) + 1)
+			for i := range free[:n] {
+				free[i] = byte(random.Uint32())
+			}
+			added = append(added, free[:n]...)
+			return n, nil
+		}, 1+random.IntN(100_000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		part := make([]byte, random.IntN(40_000))
+		taken = append(taken, part[:b.take(part)]...)
+		if len(added) != len(taken)+b.size {
+			t.Fatalf("got size %d after %d bytes were added and %d taken", b.size, len(added), len(taken))
+		}
+	}
+	taken = append(taken, b.takeAll()...)
+	if !bytes.Equal(added, taken) || b.size != 0 || len(b.chunks) != 0 {
+		t.Errorf("got %d bytes in another order, and %d left", len(taken), b.size)
 	}
 }
 
--- a/internal/gateway/client_report.go
+++ b/internal/gateway/client_report.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"sync/atomic"
-
-	"sparspread/policy"
-)
+import "sparspread/policy"
 
 // clientCloseReason is the reason why the connection of a client was closed.
 type clientCloseReason int
@@ -41,17 +37,12 @@
 	longestAccept policy.Time // longest time from accept until the event loop handled the connection
 
 	closed              [clientCloseReasonCount]int
+	leftBehindInput     int         // clients that left while their reader did not read
+	unseen              int         // attempts not begun because it was not known whether the client had left
 	leftWithOpenRequest int         // clients that closed their connection while a request was open
 	longestDisconnect   policy.Time // longest time from a close's detection until it was handled
 }
 
-// readAheadCounts counts why reading ahead has stopped, since the counts were last logged. It is safe for any
-// goroutine.
-type readAheadCounts struct {
-	connectionFull atomic.Int64 // the input that is read ahead on the connection has reached its limit
-	memoryFull     atomic.Int64 // the input of all connections has reached its limit
-}
-
 const clientReportInterval = 5 * second
 
 // countClose counts a closed connection.
@@ -97,8 +88,8 @@
 	attributes = append(attributes, counts.closedAttributes()...)
 	attributes = append(attributes,
 		"left_with_open_request", counts.leftWithOpenRequest,
+		"left_behind_input", counts.leftBehindInput, "attempts_unseen", counts.unseen,
 		"longest_disconnect_us", counts.longestDisconnect,
-		"read_ahead_connection_full", cs.readAhead.connectionFull.Swap(0),
-		"read_ahead_memory_full", cs.readAhead.memoryFull.Swap(0))
+		"read_ahead_full", cs.readAheadFull.Swap(0))
 	g.log.Info("clients", attributes...)
 }
--- a/internal/gateway/client_unread_input_test.go
+++ b/internal/gateway/client_unread_input_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sparspread/internal/sockstate"
 )
 
 // unreadInput is the input that a client has written and the gateway does not read, when the client
@@ -49,6 +52,59 @@
 	}
 }
 
+// The next sweep detects that a client has disconnected behind input that the gateway does not read.
+func TestSweepDetectsDisconnectBehindUnreadInput(t *testing.T) {
+	forEachDisconnectMethod(t, notRetryable, func(w *waitingRequest) {
+		w.stopReadAhead()
+		w.writeUnread(unreadArrived)
+		w.wantDisconnectDetectedBySweep()
+	})
+}
+
+// The next sweep detects that a client has disconnected after its reader was stopped for a handover.
+func TestSweepDetectsDisconnectAfterReaderStopped(t *testing.T) {
+	forEachDisconnectMethod(t, notRetryable, func(w *waitingRequest) {
+		c := clientList(w.gateway)[0]
+		c.stopReading()
+		stopped := wait(w.t, w.gateway.events.Queue(), "the reader to stop")
+		c.unparsedInput, c.readerStopped = eventAs[clientReaderStopped](w.t, stopped).input, true
+		w.wantDisconnectDetectedBySweep()
+	})
+}
+
+// wantDisconnectDetectedBySweep disconnects the client, and checks that a sweep closes its connection and
+// nothing is sent.
+func (w *waitingRequest) wantDisconnectDetectedBySweep() {
+	w.t.Helper()
+	w.disconnect()
+	w.awaitDisconnectAtSocket()
+	w.gateway.clients.sweep(w.gateway)
+	w.gateway.events.HandleDeferred()
+	if n := len(w.gateway.clients.conns); n != 0 {
+		w.t.Errorf("got %d connections after the sweep, want none", n)
+	}
+	w.wantNothingSent()
+	w.wantNoOpenRequests()
+}
+
+// A client that stays connected and writes more than its receive buffer holds gets its request served, since
+// its input is read ahead.
+func TestRequestBeforeMuchInputIsSent(t *testing.T) {
+	w := newWaitingRequest(t, notRetryable, nil)
+	defer close(w.unblock)
+	w.client.write(strings.Repeat("*1\r\n$4\r\nPING\r\n", 2*maxPipelined))
+	handleUntil(t, w.gateway, "the pipeline to fill", func() bool {
+		return len(clientList(w.gateway)[0].pipeline) == maxPipelined
+	})
+	w.client.write(strings.Repeat("*1\r\n$4\r\nPING\r\n", 100_000))
+	for sockstate.Receive(clientList(w.gateway)[0].writer.RawConn()) != sockstate.Empty {
+		runtime.Gosched() // until the input is read ahead
+	}
+	advanceClock(t, w.gateway, 2*maxUnseen)
+	w.completeDial()
+	w.answerRequest()
+}
+
 // stopReadAhead fills the pipeline of the client and the memory for input that is read ahead. The gateway
 // then reads no further input of the client.
 func (w *waitingRequest) stopReadAhead() {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "sparspread/internal/descriptors"
+import (
+	"sync/atomic"
+
+	"sparspread/internal/descriptors"
+)
 
 // clients holds the connections of clients, within their part of the file descriptor budget. It is used only
 // by the event loop's goroutine, except for the channel slots.
@@ -10,7 +14,9 @@
 	conns  map[*client]bool
 	counts clientCounts
 
-	readAhead readAheadCounts // safe for any goroutine
+	// readAheadFull counts, since the counts were last logged, how often there was no memory to read ahead.
+	// It is safe for any goroutine.
+	readAheadFull atomic.Int64
 }
 
 func newClients(budget descriptors.Budget) *clients {
@@ -19,15 +25,16 @@
 	}
 }
 
-// sweep closes connections that have been idle for too long or exceed the limit. During a handover it hands
-// over connections that are ready for it, and refuses commands that have waited too long for that. It also
-// logs the counts if they are due.
+// sweep detects disconnects behind unread input, and closes connections that have been idle for too long or
+// exceed the limit. During a handover it hands over connections that are ready for it, and refuses commands
+// that have waited too long for that. It also logs the counts if they are due.
 func (cs *clients) sweep(g *Gateway) {
 	for len(cs.conns) > cs.limit && cs.evict(g, nil) {
 	}
 	cs.logCounts(g)
 	now := g.events.Now()
 	for c := range cs.conns {
+		c.detectDisconnect(g)
 		c.refuseDelayedCommands(g, now)
 		c.handOver(g)
 		c.closeIfAnswered(g)
--- a/internal/gateway/shutdown_pipeline_test.go
+++ b/internal/gateway/shutdown_pipeline_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 
+	"sparspread/internal/sockstate"
 	"sparspread/policy"
 )
 
@@ -148,7 +149,7 @@
 	if _, err := peer.Write([]byte("*")); err != nil {
 		t.Fatal(err)
 	}
-	for c.writer.NoInput() {
+	for sockstate.Receive(c.writer.RawConn()) == sockstate.Empty {
 		continue // until the byte has arrived
 	}
 	want(waitsForCommand, true, "input has arrived and is not read")
--- /dev/null
+++ b/internal/sockstate/reader.go
@@ -0,0 +1,66 @@
+package sockstate
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Reader reads from a connection. It is not safe for concurrent use.
+type Reader struct {
+	conn syscall.RawConn // nil if the connection was already closed when the Reader was created
+	read func(socket uintptr) (done bool)
+
+	// Parameter and results of read.
+	buffer []byte
+	n      int
+	err    error
+	waited bool // nothing was unread at the first attempt
+}
+
+// NewReader returns a Reader for a connection. A nil connection is closed.
+func NewReader(conn syscall.RawConn) *Reader {
+	r := &Reader{conn: conn}
+	r.read = r.readOnce
+	return r
+}
+
+// Read reads like net.Conn. drained reports that no input was unread shortly before it returned: Read had to
+// wait for input, or it has read all of it. If the peer had closed the connection at that time, the next
+// Read returns the end of the connection.
+func (r *Reader) Read(b []byte) (n int, drained bool, err error) {
+	if r.conn == nil {
+		return 0, false, net.ErrClosed
+	}
+	r.buffer, r.n, r.err, r.waited = b, 0, nil, false
+	err = r.conn.Read(r.read)
+	r.buffer = nil
+	switch {
+	case err != nil:
+		return 0, r.waited, err
+	case r.err != nil:
+		return 0, r.waited, os.NewSyscallError("read", r.err)
+	case r.n == 0 && len(b) > 0:
+		return 0, false, io.EOF
+	}
+	return r.n, r.waited || r.n < len(b), nil
+}
+
+// readOnce reads without waiting. It reports whether a result is set: if not, there is no input yet.
+func (r *Reader) readOnce(socket uintptr) (done bool) {
+	for {
+		r.n, r.err = unix.Read(int(socket), r.buffer)
+		switch {
+		case errors.Is(r.err, unix.EINTR):
+			continue
+		case errors.Is(r.err, unix.EAGAIN):
+			r.waited = true
+			return false
+		}
+		return true
+	}
+}
--- a/internal/sockwriter/writer.go
+++ b/internal/sockwriter/writer.go
@@ -62,20 +62,6 @@
 	return n, err
 }
 
-// NoInput reports whether the connection is open and the kernel holds no unread input of it.
-func (w *Writer) NoInput() bool {
-	if w.raw == nil {
-		return false
-	}
-	noInput := false
-	err := w.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noInput = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
-	})
-	return err == nil && noInput
-}
-
 // Send writes b without blocking. The caller must not use b afterwards. If bytes of an earlier call are still
 // being written, b is appended to the pending bytes. Send then returns false if more than limit bytes are
 // pending, because the peer does not read. It does not report a broken connection, because the goroutine that
--- a/internal/sockwriter/writer_test.go
+++ b/internal/sockwriter/writer_test.go
@@ -87,24 +87,3 @@
 		t.Errorf("error %v, want %v", err, os.ErrDeadlineExceeded)
 	}
 }
-
-// NoInput is false if input is available or the connection is closed.
-func TestNoInput(t *testing.T) {
-	local, peer := newConnection(t)
-	w := New(local)
-	if !w.NoInput() {
-		t.Error("NoInput is false on a new connection, want true")
-	}
-	if _, err := peer.Write([]byte("x")); err != nil {
-		t.Fatal(err)
-	}
-	for deadline := time.Now().Add(waittest.Timeout); w.NoInput(); {
-		if time.Now().After(deadline) {
-			t.Fatal("NoInput stays true after the peer has sent a byte, want false")
-		}
-	}
-	_ = local.Close()
-	if w.NoInput() {
-		t.Error("NoInput is true on a closed connection, want false")
-	}
-}
--- a/policy/api.go
+++ b/policy/api.go
@@ -152,6 +152,7 @@
 	Result         Result
 	Latency        Time
 	ClientAnswered bool    // the client has its final answer
+	ClientUnseen   bool    // it is not known whether the client is connected: no further attempt may begin
 	DialUnanswered bool    // with ResultConnectFailed: nothing came back to the dial, not even a refusal
 	MeterReading   int     // percent of the plan's rate used at all gateways, plus 1; 0 means no reading
 	ActualCost     float64 // in units; zero if not reported
--- a/policy/controller_attempts.go
+++ b/policy/controller_attempts.go
@@ -106,7 +106,8 @@
 		return
 	}
 	rule := c.settings.retryRuleAfter(request.Class, request.attempts, now)
-	if !request.answered && c.retry(request, attempt, outcome.Result, rule, now) {
+	mayRetry := !request.answered && !outcome.ClientUnseen
+	if mayRetry && c.retry(request, attempt, outcome.Result, rule, now) {
 		return
 	}
 	c.requests.remove(outcome.RequestID)
--- a/policy/controller_attempts_test.go
+++ b/policy/controller_attempts_test.go
@@ -41,6 +41,29 @@
 	}
 }
 
+// Guards against a retry for a client that may have disconnected.
+func TestRequestOfUnseenClientIsNotRetried(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		class  int
+		result Result
+		want   actionKind
+	}{
+		{"idempotent, rejected after an error", 0, ResultFailed, rejectAction},
+		{"not idempotent, rejected if not sent", 1, ResultNotSent, rejectAction},
+		{"not idempotent, fails after a reset", 1, ResultReset, failAction},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, testSettings())
+			id, _ := h.request(c.class, 1, 9, 1)
+			h.AttemptEnded(h.at, Outcome{RequestID: id, Result: c.result, ClientUnseen: true})
+			if got := h.lastAction(); got.kind != c.want || got.request != id {
+				t.Errorf("got action %+v", got)
+			}
+		})
+	}
+}
+
 func TestUnknownEventsAreIgnored(t *testing.T) {
 	h := newHarness(t, testSettings())
 	id, _ := h.request(0, 1, 9, 1)
