Do not send a request whose ID may have run before, here or at the predecessor

Callers saw: a booking that came again with its ID on a new connection, after its client had left, ran twice; also when the second one came to the successor in an upgrade.

Cause: IDs were known only while their request was open. Once its client had left or had the answer, the same ID was a new request. So an ID whose attempt may have run is owed no second run; it gets an error that does not say whether it ran, since BUSY would say that it did not. An ID that was not read, or whose attempts provably did not run, is decided on as before.

--- a/internal/gateway/client_commands.go
+++ b/internal/gateway/client_commands.go
@@ -18,6 +18,7 @@
 var (
 	errCommandIncomplete = errors.New("command: incomplete after its time limit")
 	errIDIsOpen          = errors.New("id: a request with this ID is already open")
+	errIDMayHaveRun      = errors.New("id: a request with this ID may have run already")
 )
 
 // unknownCommandError is the name of an unknown command. Its text is sent to the client.
@@ -75,14 +76,15 @@
 		malformed := !errors.Is(err, command.ErrUnknownClass)
 		return &commandAnswered{commandHead: *h, reply: errorReply(err), malformed: malformed}
 	case h.args == nil:
-		return &requestDropped{commandHead: *h, clientRequestID: request.RequestID}
+		class := request.PolicyRequest.Class
+		return &requestDropped{commandHead: *h, clientRequestID: request.RequestID, class: class}
 	}
 	return &requestReceived{commandHead: *h, request: request, config: cfg}
 }
 
-// tryReject answers a request that the gateway cannot serve with an error or a rejection, and reports whether
-// it did. It always does if noCapacity is set. It counts the request as a command of its connection.
-func (g *Gateway) tryReject(r *request, noCapacity bool) (rejected bool) {
+// tryReject answers a request that the gateway cannot serve, or that must not run again, with an error or a
+// rejection, and reports whether it did. It always does if noCapacity is set. It counts the request as a command of its connection.
+func (g *Gateway) tryReject(r *request, class int, noCapacity bool) (rejected bool) {
 	if g.requests.openByClientRequestID[r.clientRequestID] != nil {
 		// Backends cannot distinguish two open requests with the same ID.
 		r.client.countCommand(true, false)
@@ -90,6 +92,10 @@
 		return true
 	}
 	r.client.countCommand(false, false)
+	if !g.controller.MayRunAgain(g.events.Now(), class, r.clientRequestID) {
+		g.answer(r, errorReply(errIDMayHaveRun)) // a rejection would say that it did not run
+		return true
+	}
 	reply := g.capacityRejection(r.client, noCapacity)
 	if reply == nil {
 		return false
@@ -125,6 +131,6 @@
 	margin := min(deadlineMargin, details.Timeout/maxMarginDivisor)
 	r.receivedAt, r.deadline = receivedAt, receivedAt+details.Timeout-margin
 	r.deadlineTimer = g.events.Schedule(r.deadline+margin/2, deadlineTimeout{request: r})
-	details.ID, details.Timeout = r.id, max(0, r.deadline-now)
+	details.ID, details.ClientRequestID, details.Timeout = r.id, r.clientRequestID, max(0, r.deadline-now)
 	g.controller.RequestReceived(now, details)
 }
--- a/internal/gateway/received_command.go
+++ b/internal/gateway/received_command.go
@@ -102,6 +102,7 @@
 type requestDropped struct {
 	commandHead
 	clientRequestID uint64
+	class           int // index of its class
 }
 
 // Handle implements event.
@@ -111,7 +112,7 @@
 
 func (e *requestDropped) refuse(g *Gateway) {
 	r := e.appendRequest(g, command.Request{RequestID: e.clientRequestID})
-	g.tryReject(r, true)
+	g.tryReject(r, e.class, true)
 }
 
 // requestReceived is a valid request from a client.
@@ -138,7 +139,7 @@
 		return
 	}
 	r := e.appendRequest(g, e.request)
-	g.tryReject(r, true)
+	g.tryReject(r, e.request.PolicyRequest.Class, true)
 }
 
 // parseAgain parses a request whose configuration was replaced by a reload, because the index of its class
@@ -148,7 +149,7 @@
 // admit passes a request to the policy unless the gateway itself rejects it.
 func (e *requestReceived) admit(g *Gateway) {
 	r := e.appendRequest(g, e.request)
-	if !g.tryReject(r, false) {
+	if !g.tryReject(r, e.request.PolicyRequest.Class, false) {
 		g.admitRequest(r, e.request.PolicyRequest, e.receivedAt)
 	}
 }
--- a/internal/handover/codec_test.go
+++ b/internal/handover/codec_test.go
@@ -33,7 +33,8 @@
 		t.Fatal(err)
 	}
 	want := testfill.Numbered[handoverState](testfill.Letters)
-	want.Module.Now, want.Module.Stamps = 0, nil // the older program does not have these fields
+	// The older program does not have these fields.
+	want.Module.Now, want.Module.Stamps, want.Module.Ran, want.Module.RanAt = 0, nil, nil, nil
 	if got.LastRequestID != want.NextID {
 		t.Errorf("last request ID %d, want %d", got.LastRequestID, want.NextID)
 	}
@@ -77,6 +78,7 @@
 		t.Fatal(err)
 	}
 	state.Policy.Now, state.Policy.Stamps = 1, [][]policy.Time{{2}, nil} // the older program ignores them
+	state.Policy.Ran, state.Policy.RanAt = []uint64{3}, []policy.Time{4}
 	written, err := EncodeState(state)
 	if err != nil {
 		t.Fatal(err)
@@ -87,7 +89,9 @@
 }
 
 // addedFields lists the fields that were added to the end of a type after commit d086cf6.
-var addedFields = map[reflect.Type][]string{reflect.TypeFor[policy.Snapshot](): {"Now", "Stamps"}}
+var addedFields = map[reflect.Type][]string{
+	reflect.TypeFor[policy.Snapshot](): {"Now", "Stamps", "Ran", "RanAt"},
+}
 
 func TestEncodedStateHasFieldsOfOlderProgram(t *testing.T) {
 	checkSameFields(t, reflect.TypeFor[handoverState](), reflect.TypeFor[olderform.State]())
--- a/policy/activitycounters.go
+++ b/policy/activitycounters.go
@@ -32,6 +32,7 @@
 	bucketHalfFull          int // the part of overQuotaByShare rejected with the bucket at least half full
 	quotaRequests           int
 	quotaRequestsUnanswered int // quota requests that timed out
+	repeatedIDs             int // requests refused by MayRunAgain
 	results                 [ResultNotSent + 1]int
 	retriesAfter            [ResultNotSent + 1]int // retries by the result of the previous attempt
 
@@ -93,6 +94,7 @@
 		loadAttr(&load),
 		c.slowStartAttr(&slowStart),
 		resultsAttr("retries_after", &c.retriesAfter),
+		slog.Int("repeated_ids", c.repeatedIDs),
 	}
 	*c = activityCounters{since: now}
 	return attributes
--- a/policy/activitycounters_test.go
+++ b/policy/activitycounters_test.go
@@ -33,7 +33,7 @@
 	want := []string{
 		"attempts_sent", "consecutive_to_one_backend", "rejected", "over_quota_by_share",
 		"over_quota_bucket_half_full", "quota_requests", "quota_requests_unanswered", "results", "load",
-		"slow_start", "retries_after",
+		"slow_start", "retries_after", "repeated_ids",
 	}
 	got := new(activityCounters).flush(0, loadMetrics{}, slowStartMetrics{})
 	if len(got) != len(want) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -142,6 +142,7 @@
 	Cost                   float64 // in units
 	Timeout                Time    // how long the client continues to wait
 	FirstReplica, Replicas int     // the replica set: Replicas consecutive gateways from FirstReplica on
+	ClientRequestID        uint64  // the ID that the client has given it, for MayRunAgain
 }
 
 // Outcome reports how an attempt ended.
--- a/policy/controller.go
+++ b/policy/controller.go
@@ -45,6 +45,7 @@
 
 	// Requests.
 	requests       requestTable
+	executed       executedRequests
 	retryBudget    retryBudget
 	clientTimeouts clientTimeouts
 
@@ -65,6 +66,7 @@
 		gossip:         newGossipState(uint32(seed>>halfSeedBits)^uint32(seed), settings.Gateways),
 		backends:       newBackendTable(len(settings.Classes), len(settings.Plans)),
 		requests:       newRequestTable(len(settings.Classes)),
+		executed:       newExecutedRequests(),
 		retryBudget:    maxRetryBudget,
 		clientTimeouts: newClientTimeouts(len(settings.Plans), len(settings.Classes)),
 		latency:        newLatencyEstimate(len(settings.Classes)),
--- a/policy/controller_attempts.go
+++ b/policy/controller_attempts.go
@@ -45,6 +45,7 @@
 // send starts the next attempt of a request.
 func (c *Controller) send(request *request, backend *backend) {
 	attempt := c.recordSend(request, backend)
+	c.recordExecution(request)
 	deadline := c.attemptDeadline(request)
 	c.counters.countAttempt(backend)
 	waiting := c.actions.Send(request.ID, backend.ID, deadline)
@@ -110,7 +111,7 @@
 	if mayRetry && c.retry(request, attempt, outcome.Result, rule, now) {
 		return
 	}
-	c.requests.remove(outcome.RequestID)
+	c.removeRequest(request)
 	c.refund(request)
 	switch {
 	case request.answered:
@@ -170,6 +171,6 @@
 func (c *Controller) RequestCancelled(now Time, id uint64) {
 	c.ResponseStarted(now, id)
 	if request := c.requests.byID[id]; request != nil && !request.hasPendingAttempt() {
-		c.requests.remove(id)
+		c.removeRequest(request)
 	}
 }
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -234,7 +234,7 @@
 // at once.
 func (h *harness) receiveRequest(request Request) (id uint64, sent bool) {
 	h.nextID++
-	request.ID = h.nextID
+	request.ID, request.ClientRequestID = h.nextID, h.nextID
 	before := h.countActions(sendAction)
 	h.RequestReceived(h.at, request)
 	return request.ID, h.countActions(sendAction) > before
--- a/policy/recorded_test.go
+++ b/policy/recorded_test.go
@@ -174,6 +174,8 @@
 	want.Pace[0] = 8.0 / 3
 	// These fields were added after the recording.
 	want.Now, want.Stamps = h.at, [][]Time{nil, nil, {start + second}, nil}
+	open := want.Open[0] // the only request that must not run again
+	want.Ran, want.RanAt = []uint64{open.ID}, []Time{open.Attempts[0].At}
 	if got := decodeSnapshot(t, encodeSnapshot(t, current)); !reflect.DeepEqual(got, want) {
 		t.Errorf("exported\n%+v, want\n%+v", got, want)
 	}
@@ -244,7 +246,8 @@
 		t.Errorf("decoded\n%+v, want\n%+v", *got, all)
 	}
 	older := all
-	older.Now, older.Stamps = 0, nil // added after the recording, as the last fields
+	// These fields were added after the recording, as the last ones.
+	older.Now, older.Stamps, older.Ran, older.RanAt = 0, nil, nil, nil
 	if got := *recordedSnapshot(t, "snapshot-fields.gob", &older); !reflect.DeepEqual(got, older) {
 		t.Errorf("decoded\n%+v, want\n%+v", got, older)
 	}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -36,6 +36,7 @@
 		snapshot.Stamps = append(snapshot.Stamps, backend.slowStart.stamps.known)
 	}
 	snapshot.Now = c.clock.now
+	snapshot.Ran, snapshot.RanAt = c.executed.exportState()
 	snapshot.Open = convertAll(c.requests.withPendingAttempts(), encodeRequest)
 	return snapshot
 }
@@ -52,6 +53,7 @@
 	indices := snapshot.indicesIn(&c.settings)
 	c.clock.importState(snapshot.Born, snapshot.Woke, snapshot.Still)
 	c.customers.sweptAt = snapshot.Swept
+	c.executed.importState(c.clock.now, snapshot.Ran, snapshot.RanAt)
 	c.gossip.importState(snapshot.Boot, snapshot.Turn, snapshot.peers())
 	c.limit, c.pace.answerRate = snapshot.decodeLimit(), decodeSum(snapshot.Pace)
 	c.priority.movingAverage, c.retryBudget = decodeAverage(snapshot.Worth), retryBudget(snapshot.Again)
--- a/policy/snapshot_clock.go
+++ b/policy/snapshot_clock.go
@@ -28,6 +28,9 @@
 	}
 	shift.applyToBuckets(&s.Lend)
 	shift.applyToSums(&s.InTime, &s.Peers, &s.PeersHeld, &s.PeersInTime, &s.Pace)
+	for i := range s.RanAt {
+		shift.applyToTimes(&s.RanAt[i])
+	}
 	for i := range s.Customers {
 		customer := &s.Customers[i]
 		shift.applyToBuckets(&customer.Store, &customer.Ceiling)
--- a/policy/snapshot_codec.go
+++ b/policy/snapshot_codec.go
@@ -44,6 +44,9 @@
 
 	Now    Time     // when the snapshot was written, by the writer's clock; zero in old snapshots
 	Stamps [][]Time // the known start stamps of each backend; nil in old snapshots
+
+	Ran   []uint64 // the clients' IDs of recent requests that may have run; nil in old snapshots
+	RanAt []Time   // when the first attempt of each of them was sent
 }
 
 // CustomerState is the state of one customer.
