Let other goroutines run while the event loop is busy

Callers saw: while one client sent PINGs or requests of an unknown class at full speed on one connection, others got their answers seconds late or not at all (2 of 149 probes served in 3 s, the worst after 3.6 s).

Cause: the process uses one processor. The event loop and the readers that post to it wake each other, and the scheduler runs goroutines that were just woken before those in its global queue, of which it takes one in 61 turns: schedtrace showed 20 to 88 goroutines waiting there, with the machine idle (load 1.5). Dials, reads of answers and timers waited there; dials even timed out, and backends were put into slow start for it.

Fix: the loop yields after 16 events; it then waits behind all goroutines that can run.

Class: unfair sharing of the processor, so that the gateway's own delay was taken for a fault of backends. TestBusyLoopLetsOtherGoroutinesRun fails without the yield (50,817 to 74,059 events).

--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -46,7 +46,9 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	removeBuiltGateway()
+	os.Exit(code)
 }
 
 // randomHost returns a random loopback address for a test. Two tests are unlikely to get the same address.
@@ -70,6 +72,7 @@
 
 // gatewayProcess is a gateway that runs in its own process.
 type gatewayProcess struct {
+	program    string // path of the program; if empty, the test binary, which runs the gateway
 	host       string // loopback address of the gateway
 	opsHost    string // loopback address of the interface for operators; if empty, host is used
 	command    *exec.Cmd
@@ -83,6 +86,15 @@
 
 // startGateway starts a gateway that may open the given number of descriptors. change may be nil.
 func startGateway(tb testing.TB, host string, descriptors int, change configChange) *gatewayProcess {
+	tb.Helper()
+	return startProgram(tb, "", host, descriptors, change)
+}
+
+// startProgram is like startGateway, for the program at the given path. If that is empty, the test binary
+// runs the gateway.
+func startProgram(
+	tb testing.TB, program, host string, descriptors int, change configChange,
+) *gatewayProcess {
 	tb.Helper()
 	dir, err := makeShortDir()
 	if err != nil {
@@ -90,7 +102,8 @@
 	}
 	tb.Cleanup(func() { _ = os.RemoveAll(dir) })
 	p := &gatewayProcess{
-		host: host, configPath: filepath.Join(dir, "config.json"), exited: make(chan struct{}),
+		program: program, host: host, configPath: filepath.Join(dir, "config.json"),
+		exited: make(chan struct{}),
 	}
 	p.writeConfig(tb, change)
 	p.start(tb, descriptors)
@@ -106,7 +119,7 @@
 func startSuccessor(tb testing.TB, first *gatewayProcess, change configChange) *gatewayProcess {
 	tb.Helper()
 	p := &gatewayProcess{
-		host: first.host, configPath: filepath.Join(filepath.Dir(first.configPath), "successor.json"),
+		program: first.program, host: first.host, configPath: filepath.Join(filepath.Dir(first.configPath), "successor.json"),
 		opsHost: randomHost(), exited: make(chan struct{}),
 	}
 	p.writeConfig(tb, func(fields map[string]any) {
@@ -131,7 +144,8 @@
 	script := fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors)
 	// The cleanup below kills the process. The test's context can't be used: it is cancelled before the other
 	// cleanups run, some of which need the process.
-	p.command = exec.CommandContext(context.Background(), "/bin/sh", "-c", script, os.Args[0])
+	program := cmp.Or(p.program, os.Args[0])
+	p.command = exec.CommandContext(context.Background(), "/bin/sh", "-c", script, program)
 	p.command.Env = append(
 		os.Environ(), testProcessVariable+"=1", "TMPDIR="+dir, configPathVariable+"="+p.configPath,
 	)
--- a/cmd/gateway/soak_client_test.go
+++ b/cmd/gateway/soak_client_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,9 +26,17 @@
 	client   *soakClient
 
 	// Set by the client.
-	sentAt time.Time // when the last byte was written; zero if it was not
+	sentAt     time.Time // when the last byte was written; zero if it was not
+	answer     string    // the first line of the answer, or the value; empty if there is none
+	answeredAt time.Time
 }
 
+// isServed reports whether the answer is a value.
+func (r *soakRequest) isServed() bool { return r.answer == servedValue(r.id) }
+
+// isRejected reports whether the answer says that the request did not run.
+func (r *soakRequest) isRejected() bool { return strings.HasPrefix(r.answer, "-BUSY") }
+
 // encode returns the command of the request.
 func (r *soakRequest) encode() string {
 	fields := fmt.Sprintf("c=%s,t=business,d=%d,units=1,spread=1,first=0", r.class, r.timeout.Milliseconds())
@@ -55,6 +65,7 @@
 	mu       sync.Mutex // guards the fields below, and the requests
 	requests []*soakRequest
 	closedAt time.Time // when the client closed the connection; zero if it did not
+	endedAt  time.Time // when the gateway closed the connection; zero if it did not
 }
 
 // dialSoakClient connects a client.
@@ -81,15 +92,17 @@
 	}
 	c.mu.Unlock()
 	text.WriteString(behind)
-	c.writePieces(text.String(), requests, text.Len(), 0)
+	_ = c.writePieces(text.String(), requests, text.Len(), 0) // the caller sees what is answered
 }
 
 // writePieces writes text in pieces with a pause after each, and records that the requests were sent.
-func (c *soakClient) writePieces(text string, requests []*soakRequest, size int, pause time.Duration) {
+func (c *soakClient) writePieces(
+	text string, requests []*soakRequest, size int, pause time.Duration,
+) error {
 	for len(text) > 0 {
 		n := min(size, len(text))
 		if _, err := io.WriteString(c.conn, text[:n]); err != nil {
-			return
+			return err
 		}
 		text = text[n:]
 		time.Sleep(pause)
@@ -99,6 +112,48 @@
 	for _, r := range requests {
 		r.sentAt = time.Now()
 	}
+	return nil
+}
+
+// readAnswers reads an answer for each request, in their order, until the connection ends.
+func (c *soakClient) readAnswers() {
+	in := bufio.NewReader(c.conn)
+	for next := 0; ; {
+		answer, err := readSoakAnswer(in)
+		c.mu.Lock()
+		switch {
+		case err != nil:
+			if !errors.Is(err, net.ErrClosed) {
+				c.endedAt = time.Now()
+			}
+			c.mu.Unlock()
+			return
+		case answer == strings.TrimSpace(pongReply):
+		case next < len(c.requests):
+			c.requests[next].answer, c.requests[next].answeredAt = answer, time.Now()
+			next++
+		}
+		c.mu.Unlock()
+	}
+}
+
+// readSoakAnswer reads a line or a value.
+func readSoakAnswer(in *bufio.Reader) (string, error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	line = strings.TrimSpace(line)
+	if !strings.HasPrefix(line, "$") {
+		return line, nil
+	}
+	var size int
+	if _, err := fmt.Sscanf(line, "$%d", &size); err != nil {
+		return "", err
+	}
+	value := make([]byte, size+len("\r\n"))
+	_, err = io.ReadFull(in, value)
+	return string(value[:size]), err
 }
 
 // departure is how a client leaves.
--- a/cmd/gateway/soak_world_test.go
+++ b/cmd/gateway/soak_world_test.go
@@ -49,7 +49,7 @@
 // startGateway starts the gateway, and waits until it knows the backends and answers.
 func (w *soakWorld) startGateway(tb testing.TB) *gatewayProcess {
 	tb.Helper()
-	p := startGateway(tb, w.host, soakDescriptors, w.configure)
+	p := startProgram(tb, buildGateway(tb), w.host, soakDescriptors, w.configure)
 	p.waitFor(tb, "an answer to PING", p.answersPing)
 	w.discovery.waitForWatch()
 	return p
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -7,7 +7,10 @@
 // are deferred while an event or a timer is handled are handled immediately after it.
 package eventloop
 
-import "context"
+import (
+	"context"
+	"runtime"
+)
 
 // Event is an event to be handled by a loop. S is the type of the loop's state.
 type Event[S any] interface {
@@ -18,6 +21,11 @@
 const (
 	queueLength       = 1024 // number of queued events at which Post blocks
 	urgentQueueLength = 16   // number of queued events at which PostUrgent blocks
+
+	// The loop lets other goroutines run after eventsPerYield events. If it shared its processor with the
+	// goroutines that post events and never blocked, all others would hardly run: the scheduler prefers
+	// goroutines that have just been woken.
+	eventsPerYield = 16
 )
 
 // Loop is an event loop. Post and PostUrgent are safe for concurrent use. All other methods must be called on
@@ -73,8 +81,11 @@
 
 // Run handles events and timers until Stop is called.
 func (l *Loop[S]) Run() {
-	for !l.stopped {
+	for handled := 1; !l.stopped; handled++ {
 		l.RunTimers()
+		if handled%eventsPerYield == 0 {
+			runtime.Gosched()
+		}
 		select {
 		case e := <-l.urgent:
 			l.HandleEvent(e)
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -170,3 +171,26 @@
 		t.Errorf("%d events are queued, want 0", n)
 	}
 }
+
+// Guards against a loop that always has an event and lets no other goroutine run on its processor.
+func TestBusyLoopLetsOtherGoroutinesRun(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	rec := newRecorder(eventloop.SystemClock())
+	var ran atomic.Bool
+	handled := 0
+	var repost eventFunc
+	repost = func(rec *recorder) {
+		if handled++; ran.Load() {
+			rec.loop.Stop()
+			return
+		}
+		rec.loop.Post(repost)
+	}
+	rec.loop.Post(repost)
+	go ran.Store(true)
+	rec.loop.Run()
+	const maxEvents = 100 // the scheduler itself would interrupt the loop after many more
+	if handled > maxEvents {
+		t.Errorf("another goroutine ran after %d events, want at most %d", handled, maxEvents)
+	}
+}
--- a/internal/gateway/client_commands.go
+++ b/internal/gateway/client_commands.go
@@ -83,7 +83,8 @@
 }
 
 // tryReject answers a request that the gateway cannot serve, or that must not run again, with an error or a
-// rejection, and reports whether it did. It always does if noCapacity is set. It counts the request as a command of its connection.
+// rejection, and reports whether it did. It always does if noCapacity is set. It counts the request as a
+// command of its connection.
 func (g *Gateway) tryReject(r *request, class int, noCapacity bool) (rejected bool) {
 	if g.requests.openByClientRequestID[r.clientRequestID] != nil {
 		// Backends cannot distinguish two open requests with the same ID.
