Hold the memory of a crowd of slow clients, also across an upgrade, by a test

The memory of both processes is sampled as proportional set size, so that pages of the program count once. SPARSPREAD_TEST_PROGRAM runs the play with another build.

--- a/cmd/gateway/built_gateway_test.go
+++ b/cmd/gateway/built_gateway_test.go
@@ -9,19 +9,26 @@
 	"testing"
 )
 
-// builtGateway is the program without the race detector, which needs several times the memory. It is built once,
-// by the first test that needs it.
+// builtGateway is the program without the race detector, which needs several times the memory. It is built
+// once, by the first test that needs it.
 var builtGateway struct {
 	once sync.Once
 	dir  string
 	err  error
 }
 
+// programVariable is the environment variable with the path of another build of the gateway, which the tests
+// that call buildGateway then run instead.
+const programVariable = "SPARSPREAD_TEST_PROGRAM"
+
 // buildGateway builds the gateway and returns its path.
 func buildGateway(tb testing.TB) (program string) {
 	tb.Helper()
+	if program := os.Getenv(programVariable); program != "" {
+		return program
+	}
 	builtGateway.once.Do(func() {
-		builtGateway.dir, builtGateway.err = os.MkdirTemp("", "gateway")
+		builtGateway.dir, builtGateway.err = makeShortDir()
 		if builtGateway.err != nil {
 			return
 		}
--- a/cmd/gateway/flood_test.go
+++ b/cmd/gateway/flood_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -67,13 +66,12 @@
 		t.Run(f.name, func(t *testing.T) {
 			w := newSoakWorld(t, 6)
 			p := w.startGateway(t)
+			watch := watchMemory(p)
 			stop := w.flood(t, p, f)
 			probes := w.probe(t, p)
 			stop()
 			checkProbes(t, probes)
-			if peak := p.peakMemoryMB(); peak > soakMemoryMB {
-				t.Errorf("peak memory of %d MB, want at most %d", peak, soakMemoryMB)
-			}
+			watch.check(t, w.limits)
 		})
 	}
 }
@@ -162,18 +160,3 @@
 		t.Errorf("%d served and %d rejected of %d requests", served, rejected, len(requests))
 	}
 }
-
-// peakMemoryMB returns the peak of the resident memory of the process.
-func (p *gatewayProcess) peakMemoryMB() (peak int) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	const bytesPerKB = 1024
-	for line := range strings.Lines(string(status)) {
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &peak); n == 1 {
-			return peak / bytesPerKB
-		}
-	}
-	return 0
-}
--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -119,8 +119,9 @@
 func startSuccessor(tb testing.TB, first *gatewayProcess, change configChange) *gatewayProcess {
 	tb.Helper()
 	p := &gatewayProcess{
-		program: first.program, host: first.host, configPath: filepath.Join(filepath.Dir(first.configPath), "successor.json"),
-		opsHost: randomHost(), exited: make(chan struct{}),
+		program: first.program, host: first.host,
+		configPath: filepath.Join(filepath.Dir(first.configPath), "successor.json"),
+		opsHost:    randomHost(), exited: make(chan struct{}),
 	}
 	p.writeConfig(tb, func(fields map[string]any) {
 		change(fields)
--- a/cmd/gateway/soak_backend_test.go
+++ b/cmd/gateway/soak_backend_test.go
@@ -290,8 +290,20 @@
 	return strconv.Atoi(strings.TrimSpace(line[1:]))
 }
 
+// largeValuePrefix begins the IDs of requests that are served with a value of largeValueSize bytes.
+const (
+	largeValuePrefix = "ff"
+	largeValueSize   = 60 << 10
+)
+
 // servedValue returns the value of a request.
-func servedValue(id string) string { return "value of " + id }
+func servedValue(id string) string {
+	value := "value of " + id
+	if strings.HasPrefix(id, largeValuePrefix) {
+		value += strings.Repeat(".", largeValueSize-len(value))
+	}
+	return value
+}
 
 // servedReply returns the answer of a backend that has served a request.
 func servedReply(id string) string {
--- a/cmd/gateway/soak_world_test.go
+++ b/cmd/gateway/soak_world_test.go
@@ -30,12 +30,13 @@
 	backends  []*soakBackend
 	discovery *discoveryServer
 	host      string // loopback address of the gateway
+	limits    soakLimits
 }
 
 // newSoakWorld starts backends and a discovery service that lists them.
 func newSoakWorld(tb testing.TB, backends int) *soakWorld {
 	tb.Helper()
-	w := &soakWorld{history: &soakHistory{}, host: randomHost()}
+	w := &soakWorld{history: &soakHistory{}, host: randomHost(), limits: soakLimits{soakMemoryMB, soakDescriptors}}
 	var entries []string
 	for i := range backends {
 		w.backends = append(w.backends, newSoakBackend(tb, i, soakWork, w.history))
@@ -46,10 +47,15 @@
 	return w
 }
 
+// soakLimits are the limits of a deployment.
+type soakLimits struct {
+	memoryMB, descriptors int
+}
+
 // startGateway starts the gateway, and waits until it knows the backends and answers.
 func (w *soakWorld) startGateway(tb testing.TB) *gatewayProcess {
 	tb.Helper()
-	p := startProgram(tb, buildGateway(tb), w.host, soakDescriptors, w.configure)
+	p := startProgram(tb, buildGateway(tb), w.host, w.limits.descriptors, w.configure)
 	p.waitFor(tb, "an answer to PING", p.answersPing)
 	w.discovery.waitForWatch()
 	return p
@@ -64,5 +70,5 @@
 // configure changes the configuration of a gateway.
 func (w *soakWorld) configure(fields map[string]any) {
 	fields["settings"] = json.RawMessage(soakSettings)
-	fields["limits"] = map[string]any{"memory_mb": soakMemoryMB, "sockets": soakDescriptors}
+	fields["limits"] = map[string]any{"memory_mb": w.limits.memoryMB, "sockets": w.limits.descriptors}
 }
