Take over connections ahead of queued commands

The other direction, and reloads and discovery, are posted ahead of commands already. What the predecessor sends is still handled in its order. go test ./internal/gateway passed.

--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"time"
@@ -164,30 +165,31 @@
 	a.log.Info("handover: predecessor exited")
 }
 
-// successorEvents implements handover.SuccessorEvents. It posts what the predecessor sends.
+// successorEvents implements handover.SuccessorEvents. It posts what the predecessor sends, in its order and
+// ahead of queued commands: the clients of connections that are handed over wait.
 type successorEvents struct{ gateway *Gateway }
 
-func (s successorEvents) StateReceived(state *handover.State) {
-	s.gateway.events.Post(stateReceived{state})
-}
+// StateReceived implements handover.SuccessorEvents.
+func (s successorEvents) StateReceived(state *handover.State) { s.post(stateReceived{state}) }
 
-func (s successorEvents) ClientReceived(c handover.Client) {
-	s.gateway.events.Post(clientReceived{c})
-}
+// ClientReceived implements handover.SuccessorEvents.
+func (s successorEvents) ClientReceived(c handover.Client) { s.post(clientReceived{c}) }
 
-func (s successorEvents) AttemptSent(a handover.AttemptSent) {
-	s.gateway.events.Post(predecessorAttemptSent{a})
-}
+// AttemptSent implements handover.SuccessorEvents.
+func (s successorEvents) AttemptSent(a handover.AttemptSent) { s.post(predecessorAttemptSent{a}) }
 
-func (s successorEvents) AttemptEnded(o policy.Outcome) {
-	s.gateway.events.Post(predecessorAttemptEnded{o})
-}
+// AttemptEnded implements handover.SuccessorEvents.
+func (s successorEvents) AttemptEnded(o policy.Outcome) { s.post(predecessorAttemptEnded{o}) }
 
+// CostSettled implements handover.SuccessorEvents.
 func (s successorEvents) CostSettled(settled handover.CostSettled) {
-	s.gateway.events.Post(predecessorCostSettled{settled})
+	s.post(predecessorCostSettled{settled})
 }
 
-func (s successorEvents) PredecessorExited() { s.gateway.events.Post(predecessorExited{}) }
+// PredecessorExited implements handover.SuccessorEvents.
+func (s successorEvents) PredecessorExited() { s.post(predecessorExited{}) }
+
+func (s successorEvents) post(e event) { s.gateway.events.PostUrgent(context.Background(), e) }
 
 // stateReceived carries the state of the predecessor, which has transferred the ownership to this process.
 // The state is nil if it could not be received. The event has no effect after a shutdown has started.
