Count a client's timeout from the arrival of its request, also if it is read late

Cause: the timeout was counted from the moment at which a command was parsed. It may have waited before: read ahead behind a full pipeline or a body, unread in the kernel, in the predecessor during an upgrade, or because the reader was not woken for lack of processor time.

Fix: the reader records when input may have arrived at the earliest. If it waited for it, that is the kernel's time of the last input (TCP_INFO), else the time at which the socket was last empty. Input that is read ahead keeps its time. A handover passes on the earliest time by CLOCK_MONOTONIC, which both processes share, in a new field that older versions ignore; without it the time counts from the takeover, as before. A request without time left is rejected.

Class: a time was taken where an event was processed instead of where it happened. TestOlderSuccessorTakesOver ignores the added field, as it does for an earlier one; the real older version ignores unknown fields.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -36,6 +36,7 @@
 	ignoreInput  atomic.Bool  // set by the event loop: further input is not parsed
 	disconnected atomic.Bool  // the peer has closed; clientDisconnected may be queued
 	lastInputAt  atomic.Int64 // set by the reader: when input last arrived; zero if none has
+	drainedAt    atomic.Int64 // when it was last known that no input was unread
 	lastSeenAt   atomic.Int64 // when the client was last known to be connected; see client_presence.go
 	readerWaits  atomic.Int32 // set by the reader: a readerWait
 	handingOver  atomic.Bool  // set by the event loop: the reader stops before the next command
@@ -54,15 +55,16 @@
 	// Set during a handover.
 	queuedCommands []receivedCommand // to be handled after the handover, in this order; see command_queue.go
 	readerStopped  bool              // the reader has stopped before a command
-	unparsedInput  []byte            // input that the reader had received but not parsed when it stopped
+	unparsedInput  arrivedInput      // input that the reader had received but not parsed when it stopped
 
 	// Used only by the reader goroutine.
 	socket           *sockstate.Reader
-	inheritedInput   []byte      // read but not processed by a predecessor
-	readAheadInput   inputBuffer // read while the reader was waiting; counted in queuedBytes
-	midCommand       bool        // part of a command has arrived
-	sentValidCommand bool        // a well-formed command was read
-	commandDeadline  time.Time   // time by which the current command has to be complete
+	inheritedInput   arrivedInput // read but not processed by a predecessor
+	inputArrivedAt   policy.Time  // the earliest arrival of the input that Read returned last
+	readAheadInput   inputBuffer  // read while the reader was waiting; counted in queuedBytes
+	midCommand       bool         // part of a command has arrived
+	sentValidCommand bool         // a well-formed command was read
+	commandDeadline  time.Time    // time by which the current command has to be complete
 }
 
 // idleTimeout returns how long the connection may be open without a request.
@@ -76,7 +78,7 @@
 // hasOpenCommand reports whether a command was read and not answered: it waits for the event loop, for a
 // reply, or for the end of a handover. Such a connection is neither idle nor evicted.
 func (c *client) hasOpenCommand() bool {
-	return len(c.pipelineSlots) > 0 || len(c.pipeline) > 0 || len(c.unparsedInput) > 0
+	return len(c.pipelineSlots) > 0 || len(c.pipeline) > 0 || len(c.unparsedInput.bytes) > 0
 }
 
 // isMidCommand reports whether the reader waits for the rest of a command.
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -2,9 +2,11 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"sparspread/internal/sockwriter"
+	"sparspread/policy"
 )
 
 // clientConnected reports a new connection, or one that a predecessor has handed over with the input that it
@@ -14,6 +16,8 @@
 	openedAt       time.Time
 	commandCount   int
 	inheritedInput []byte
+	inherited      bool          // handed over by a predecessor
+	inputAge       time.Duration // for how long unprocessed input of an inherited connection may have waited
 }
 
 func (e clientConnected) Handle(g *Gateway) {
@@ -25,19 +29,31 @@
 		openedAt: e.openedAt, clock: g.clock,
 		pipelineSlots: make(chan struct{}, maxPipelined), done: make(chan struct{}),
 		queuedBytes: &g.memory.inputBytes, lastCommandAt: now,
-		commandCount: e.commandCount, inheritedInput: e.inheritedInput,
+		commandCount: e.commandCount,
 	}
-	c.lastSeenAt.Store(lastSeenBeforeAccept(c.writer.RawConn(), now, e.openedAt))
+	since := e.unprocessedSince(c.writer.RawConn(), now)
+	c.lastSeenAt.Store(since)
+	c.drainedAt.Store(since)
+	inherited := arrivedInput{e.inheritedInput, since}
 	cs.conns[c] = true
 	// A connection that is accepted from the backlog during a shutdown gets a reply to one command only.
 	c.closeAfterNextCommand = g.shutdown.isClosing()
 	if g.handover.hasReleasedOwnership() {
-		c.readerStopped, c.unparsedInput, c.inheritedInput = true, e.inheritedInput, nil
+		c.readerStopped, c.unparsedInput = true, inherited
 		c.handOver(g)
 		return
 	}
+	c.inheritedInput = inherited
 	if len(cs.conns) > cs.limit {
 		cs.evict(g, nil)
 	}
 	go c.readCommands(g, c.commandCount > 0)
 }
+
+// unprocessedSince returns the earliest time at which unprocessed input of the connection may have arrived.
+func (e clientConnected) unprocessedSince(conn syscall.RawConn, now policy.Time) policy.Time {
+	if e.inherited {
+		return now - e.inputAge.Microseconds()
+	}
+	return lastSeenBeforeAccept(conn, now, e.openedAt)
+}
--- a/internal/gateway/client_commands.go
+++ b/internal/gateway/client_commands.go
@@ -30,7 +30,7 @@
 // goroutine of the client.
 func (c *client) readCommand(g *Gateway, in *resp.Reader) (receivedCommand, error) {
 	args, bodySize, err := in.ReadCommandHead()
-	head := commandHead{client: c, receivedAt: g.clock.Now()}
+	head := commandHead{client: c, receivedAt: g.clock.Now(), arrivedAt: c.inputArrivedAt}
 	switch {
 	case errors.Is(err, resp.ErrTooLarge):
 		return &commandAnswered{commandHead: head, reply: errorReply(err), malformed: true}, nil
@@ -122,7 +122,7 @@
 }
 
 // admitRequest adds a request to the request table and passes it to the policy.
-func (g *Gateway) admitRequest(r *request, details policy.Request, receivedAt policy.Time) {
+func (g *Gateway) admitRequest(r *request, details policy.Request, arrivedAt policy.Time) {
 	now := g.events.Now()
 	g.requests.lastID++
 	r.id = g.requests.lastID
@@ -130,7 +130,7 @@
 	g.memory.retainedBytes += command.Size(r.args)
 	r.customer, r.estimatedCost = details.Customer, details.Cost
 	margin := min(deadlineMargin, details.Timeout/maxMarginDivisor)
-	r.receivedAt, r.deadline = receivedAt, receivedAt+details.Timeout-margin
+	r.receivedAt, r.deadline = arrivedAt, arrivedAt+details.Timeout-margin
 	r.deadlineTimer = g.events.Schedule(r.deadline+margin/2, deadlineTimeout{request: r})
 	details.ID, details.ClientRequestID, details.Timeout = r.id, r.clientRequestID, max(0, r.deadline-now)
 	g.controller.RequestReceived(now, details)
--- a/internal/gateway/client_presence.go
+++ b/internal/gateway/client_presence.go
@@ -35,7 +35,11 @@
 	switch sockstate.Receive(c.writer.RawConn()) {
 	case sockstate.Closed:
 		return clientGone
-	case sockstate.Empty, sockstate.Unread:
+	case sockstate.Empty:
+		c.drainedAt.Store(now)
+		c.lastSeenAt.Store(now)
+		return clientPresent
+	case sockstate.Unread:
 		c.lastSeenAt.Store(now)
 		return clientPresent
 	case sockstate.Unknown, sockstate.Full:
@@ -82,8 +86,9 @@
 	return true
 }
 
-// lastSeenBeforeAccept returns when the client of a new connection was last known to be connected, before
-// anything was read from it: when input last arrived. The connection may have waited to be accepted since.
+// lastSeenBeforeAccept returns when the client of a new connection was last known to be connected, and its
+// input arrived, before anything was read from it: when input last arrived. The connection may have waited
+// to be accepted since.
 func lastSeenBeforeAccept(conn syscall.RawConn, now policy.Time, acceptedAt time.Time) policy.Time {
 	age := time.Since(acceptedAt)
 	if sinceInput, ok := sockstate.SinceLastInput(conn); ok {
@@ -92,17 +97,31 @@
 	return now - age.Microseconds()
 }
 
-// readSocket reads from the connection in the reader goroutine, and records when the client was last seen.
-func (c *client) readSocket(b []byte) (int, error) {
-	n, drained, err := c.socket.Read(b)
+// readSocket reads from the connection in the reader goroutine, and records when the client was last seen. It
+// returns the number of bytes and the earliest time at which they may have arrived: if they were there before
+// the reader read them, they arrived after the connection was last drained.
+func (c *client) readSocket(b []byte) (n int, arrivedAt policy.Time, err error) {
+	arrivedAt = c.drainedAt.Load()
+	result, err := c.socket.Read(b)
 	now := c.clock.Now()
-	if n > 0 {
+	if result.Waited {
+		arrivedAt = max(arrivedAt, c.lastArrival(now))
+	}
+	if result.N > 0 {
 		c.lastInputAt.Store(now)
 	}
-	if drained {
+	if result.Drained {
+		c.drainedAt.Store(now)
 		c.lastSeenAt.Store(now)
 	}
-	return n, err
+	return result.N, arrivedAt, err
+}
+
+// lastArrival returns when the input arrived for which the reader has waited. The reader may be woken later,
+// if the process gets no processor time.
+func (c *client) lastArrival(now policy.Time) policy.Time {
+	since, _ := sockstate.SinceLastInput(c.writer.RawConn()) // zero if the system does not report it
+	return now - since.Microseconds()
 }
 
 // newSocketReader returns the reader of a connection.
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -48,7 +48,7 @@
 	for next.kind == readNext {
 		next = c.readNextCommand(g, in)
 	}
-	var unparsed []byte
+	var unparsed arrivedInput
 	if next.kind == stopForHandover {
 		unparsed = c.takeUnparsedInput(in, next.unparsedHead)
 	}
@@ -154,11 +154,20 @@
 
 // takeUnparsedInput returns the input that was received but not parsed, in the order of its arrival: the
 // given start of a command, what the parser has buffered, and the rest of what was inherited or read ahead.
-func (c *client) takeUnparsedInput(in *resp.Reader, commandHead []byte) []byte {
+func (c *client) takeUnparsedInput(in *resp.Reader, commandHead []byte) arrivedInput {
+	buffered := in.TakeBuffered()
+	arrivedAt := c.clock.Now()
+	arrivedAt = c.readAheadInput.oldestArrival(arrivedAt)
+	if len(c.inheritedInput.bytes) > 0 {
+		arrivedAt = min(arrivedAt, c.inheritedInput.arrivedAt)
+	}
+	if len(commandHead)+len(buffered) > 0 {
+		arrivedAt = min(arrivedAt, c.inputArrivedAt)
+	}
 	size := int64(c.readAheadInput.size)
-	unparsed := slices.Concat(commandHead, in.TakeBuffered(), c.inheritedInput, c.readAheadInput.takeAll())
+	unparsed := slices.Concat(commandHead, buffered, c.inheritedInput.bytes, c.readAheadInput.takeAll())
 	c.queuedBytes.Add(-size)
-	return unparsed
+	return arrivedInput{unparsed, arrivedAt}
 }
 
 // acquirePipelineSlot waits for a slot in the pipeline. It returns false if the connection has ended.
@@ -198,9 +207,10 @@
 // then the input that was read ahead, then input from the connection. A handover interrupts the wait for a
 // command, but not the reading of a command of which the first byte has arrived.
 func (c *client) Read(b []byte) (int, error) {
-	if len(c.inheritedInput) > 0 {
-		n := copy(b, c.inheritedInput)
-		c.inheritedInput = c.inheritedInput[n:]
+	if len(c.inheritedInput.bytes) > 0 {
+		n := copy(b, c.inheritedInput.bytes)
+		c.inheritedInput.bytes = c.inheritedInput.bytes[n:]
+		c.inputArrivedAt = c.inheritedInput.arrivedAt
 		return n, nil
 	}
 	if c.readAheadInput.size > 0 {
@@ -216,11 +226,14 @@
 		wait = waitsForRest
 	}
 	c.readerWaits.Store(int32(wait))
-	n, err := c.readSocket(b)
+	n, arrivedAt, err := c.readSocket(b)
 	interrupted := n == 0 && c.midCommand && c.handingOver.Load() && errors.Is(err, os.ErrDeadlineExceeded)
 	if interrupted && time.Now().Before(c.commandDeadline) {
 		c.setReadDeadline(c.commandDeadline)
-		n, err = c.readSocket(b)
+		n, arrivedAt, err = c.readSocket(b)
+	}
+	if n > 0 {
+		c.inputArrivedAt = arrivedAt
 	}
 	c.readerWaits.Store(int32(waitsForNoInput))
 	return n, err
--- a/internal/gateway/client_read_ahead.go
+++ b/internal/gateway/client_read_ahead.go
@@ -85,7 +85,8 @@
 // consumeReadAhead moves buffered input to b and returns the number of bytes. It subtracts them from
 // queuedBytes, which is memoryUse.inputBytes.
 func (c *client) consumeReadAhead(b []byte) int {
-	n := c.readAheadInput.take(b)
+	n, arrivedAt := c.readAheadInput.take(b)
+	c.inputArrivedAt = arrivedAt
 	c.queuedBytes.Add(-int64(n))
 	return n
 }
--- a/internal/gateway/client_read_ahead_test.go
+++ b/internal/gateway/client_read_ahead_test.go
@@ -7,6 +7,9 @@
 	"runtime"
 	"strings"
 	"testing"
+
+	"sparspread/internal/sockwriter"
+	"sparspread/policy"
 )
 
 // Input that was read ahead is processed in the order of its arrival, and is then no longer counted in
@@ -76,7 +79,7 @@
 	near := eventAs[clientConnected](t, wait(t, g.events.Queue(), "the connection")).conn
 	t.Cleanup(func() { _ = near.Close() })
 	go func() { _, _ = far.conn.Write(make([]byte, size)) }()
-	return &client{conn: near, clock: g.clock, socket: newSocketReader(near)}
+	return &client{conn: near, writer: sockwriter.New(near), clock: g.clock, socket: newSocketReader(near)}
 }
 
 // capacity returns the number of bytes that the buffer occupies.
@@ -92,20 +95,26 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	var b inputBuffer
 	var added, taken []byte
+	var lastArrival policy.Time // the time is the number of bytes added before
 	for len(added) < 1<<20 {
-		_, err := b.fillOnce(func(free []byte) (int, error) {
+		now := policy.Time(len(added))
+		_, err := b.fillOnce(func(free []byte) (int, policy.Time, error) {
 			n := random.IntN(len(free) + 1)
 			for i := range free[:n] {
 				free[i] = byte(random.Uint32())
 			}
 			added = append(added, free[:n]...)
-			return n, nil
+			return n, now, nil
 		}, 1+random.IntN(100_000))
 		if err != nil {
 			t.Fatal(err)
 		}
 		part := make([]byte, random.IntN(40_000))
-		taken = append(taken, part[:b.take(part)]...)
+		n, arrivedAt := b.take(part)
+		if n > 0 && (arrivedAt > policy.Time(len(taken)) || arrivedAt < lastArrival) {
+			t.Fatalf("byte %d: got arrival %d after %d", len(taken), arrivedAt, lastArrival)
+		}
+		taken, lastArrival = append(taken, part[:n]...), max(lastArrival, arrivedAt)
 		if len(added) != len(taken)+b.size {
 			t.Fatalf("got size %d after %d bytes were added and %d taken", b.size, len(added), len(taken))
 		}
--- a/internal/gateway/command_queue.go
+++ b/internal/gateway/command_queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"sparspread/internal/resp"
+	"sparspread/internal/sockstate"
 	"sparspread/policy"
 )
 
@@ -79,7 +80,23 @@
 	for _, e := range c.queuedCommands {
 		e.head().discard(g)
 	}
-	c.queuedCommands, c.unparsedInput = nil, nil
+	c.queuedCommands, c.unparsedInput = nil, arrivedInput{}
+}
+
+// unprocessedSince returns the earliest time at which unprocessed input of the connection may have arrived,
+// also if it is still in the kernel. It is now if there is none.
+func (c *client) unprocessedSince(now policy.Time) policy.Time {
+	since := now
+	if sockstate.Receive(c.writer.RawConn()) != sockstate.Empty {
+		since = min(since, c.drainedAt.Load())
+	}
+	if len(c.unparsedInput.bytes) > 0 {
+		since = min(since, c.unparsedInput.arrivedAt)
+	}
+	for _, e := range c.queuedCommands {
+		since = min(since, e.head().arrivedAt)
+	}
+	return since
 }
 
 // takeUnprocessedInput removes the queued commands and the input that was not parsed, and returns them as
@@ -91,8 +108,8 @@
 		head.releaseInput(g)
 		input = appendCommand(input, head.args)
 	}
-	input = append(input, c.unparsedInput...)
-	c.queuedCommands, c.unparsedInput = nil, nil
+	input = append(input, c.unparsedInput.bytes...)
+	c.queuedCommands, c.unparsedInput = nil, arrivedInput{}
 	return input
 }
 
--- a/internal/gateway/handover_clients.go
+++ b/internal/gateway/handover_clients.go
@@ -21,7 +21,7 @@
 	if c.readerStopped && !c.closed {
 		c.readerStopped = false
 		c.handingOver.Store(false)
-		c.inheritedInput, c.unparsedInput = c.unparsedInput, nil
+		c.inheritedInput, c.unparsedInput = c.unparsedInput, arrivedInput{}
 		_ = c.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 		go c.readCommands(g, c.commandCount > 0)
 	}
@@ -34,7 +34,7 @@
 // received but not parsed.
 type clientReaderStopped struct {
 	client *client
-	input  []byte
+	input  arrivedInput
 }
 
 func (e clientReaderStopped) Handle(g *Gateway) {
@@ -60,6 +60,8 @@
 	if !c.canBeHandedOver(g) {
 		return
 	}
+	now := g.events.Now()
+	inputAge := now - c.unprocessedSince(now)
 	c.closed = true
 	close(c.done)
 	delete(g.clients.conns, c)
@@ -69,6 +71,7 @@
 		handover.ClientConnection{
 			Requests: c.commandCount,
 			OpenedAt: c.openedAt, Age: max(time.Microsecond, time.Since(c.openedAt)),
+			InputSince: handover.MonotonicTime() - time.Duration(inputAge)*time.Microsecond,
 		},
 		input,
 		c.writer.RawConn(),
--- a/internal/gateway/received_command.go
+++ b/internal/gateway/received_command.go
@@ -20,10 +20,11 @@
 // commandHead is the part that all received commands have in common.
 type commandHead struct {
 	client     *client
-	receivedAt policy.Time
-	size       int      // size of the arguments in bytes, as counted in memoryUse.inputBytes
-	args       [][]byte // nil if they were not read, or dropped for lack of memory
-	body       *body    // a large body that has not been read yet; nil if there is none
+	receivedAt policy.Time // when the reader had read it
+	arrivedAt  policy.Time // the earliest time at which its last byte may have arrived
+	size       int         // size of the arguments in bytes, as counted in memoryUse.inputBytes
+	args       [][]byte    // nil if they were not read, or dropped for lack of memory
+	body       *body       // a large body that has not been read yet; nil if there is none
 }
 
 func (h *commandHead) head() *commandHead { return h }
@@ -150,6 +151,6 @@
 func (e *requestReceived) admit(g *Gateway) {
 	r := e.appendRequest(g, e.request)
 	if !g.tryReject(r, e.request.PolicyRequest.Class, false) {
-		g.admitRequest(r, e.request.PolicyRequest, e.receivedAt)
+		g.admitRequest(r, e.request.PolicyRequest, e.arrivedAt)
 	}
 }
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -26,7 +26,7 @@
 	customer        uint64
 	estimatedCost   float64
 	metrics         *metrics.Class // metrics of its class; nil if args is nil
-	receivedAt      policy.Time    // when the last byte of the command was read
+	receivedAt      policy.Time    // when the last byte of the command arrived
 	deadline        policy.Time
 	deadlineTimer   *timer // schedules deadlineTimeout
 
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -212,11 +212,14 @@
 		_ = e.client.Conn.Close() // all slots are in use
 		return
 	}
+	inputAge, _ := e.client.InputAge(handover.MonotonicTime()) // zero if the predecessor is an older version
 	clientConnected{
 		conn:           e.client.Conn,
 		openedAt:       e.client.OpeningTime(time.Now()),
 		commandCount:   e.client.Requests,
 		inheritedInput: e.client.Input,
+		inherited:      true,
+		inputAge:       inputAge,
 	}.Handle(g)
 }
 
--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -39,6 +39,9 @@
 	Requests int           // number of well-formed commands received so far
 	OpenedAt time.Time     // when the connection was accepted, by the sender's wall clock
 	Age      time.Duration // age at the time of the handover; zero if the sender's version does not send it
+	// InputSince is the earliest time at which unprocessed input of the connection may have arrived, by
+	// MonotonicTime. It is zero if the sender's version does not send it.
+	InputSince time.Duration
 }
 
 // maxAgeWithoutCommand is the highest age of a connection on which no complete command has arrived, because a
@@ -96,6 +99,7 @@
 	Asked  int
 	Opened int64 // in microseconds since 1970, by the sender's clock
 	Age    int64 `json:",omitempty"` // in microseconds; older versions do not send it
+	Since  int64 `json:",omitempty"` // InputSince in microseconds; older versions do not send it
 }
 
 // attemptSentForm is the encoded form of AttemptSent. Its field names are frozen.
@@ -168,6 +172,7 @@
 func EncodeClientConnection(c ClientConnection) ([]byte, error) {
 	return encodeMessage(clientConnectionForm{
 		Asked: c.Requests, Opened: c.OpenedAt.UnixMicro(), Age: c.Age.Microseconds(),
+		Since: c.InputSince.Microseconds(),
 	})
 }
 
@@ -176,7 +181,8 @@
 	return decodeMessage(b, func(form clientConnectionForm) ClientConnection {
 		return ClientConnection{
 			Requests: form.Asked, OpenedAt: time.UnixMicro(form.Opened),
-			Age: time.Duration(form.Age) * time.Microsecond,
+			Age:        time.Duration(form.Age) * time.Microsecond,
+			InputSince: time.Duration(form.Since) * time.Microsecond,
 		}
 	})
 }
--- a/internal/handover/codec_test.go
+++ b/internal/handover/codec_test.go
@@ -228,3 +228,34 @@
 		t.Error("truncated message: no error, want one")
 	}
 }
+
+// The age of input is taken from a clock that both processes share. An older version does not send it, and an
+// impossible one is ignored.
+func TestInputAge(t *testing.T) {
+	const now = time.Hour
+	for _, c := range []struct {
+		name    string
+		since   time.Duration
+		want    time.Duration
+		isKnown bool
+	}{
+		{"sent", now - time.Second, time.Second, true},
+		{"not sent", 0, 0, false},
+		{"in the future", now + time.Second, 0, false},
+		{"long ago", now - time.Minute, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raw, err := EncodeClientConnection(ClientConnection{InputSince: c.since})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := DecodeClientConnection(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if age, isKnown := got.InputAge(now); age != c.want || isKnown != c.isKnown {
+				t.Errorf("got %v, %v; want %v, %v", age, isKnown, c.want, c.isKnown)
+			}
+		})
+	}
+}
--- a/internal/handover/olderform/forms.go
+++ b/internal/handover/olderform/forms.go
@@ -146,7 +146,7 @@
 
 // fieldsAddedLater lists the fields that were added to messages after commit d086cf6. The older program
 // ignores them.
-var fieldsAddedLater = []string{"Age"}
+var fieldsAddedLater = []string{"Age", "Since"}
 
 // DecodeMessage decodes the body of a message into a form. It returns an error if the body has a field that
 // the form lacks, because the field may be a renamed one. Fields in fieldsAddedLater are ignored.
--- a/internal/sockstate/reader.go
+++ b/internal/sockstate/reader.go
@@ -29,25 +29,32 @@
 	return r
 }
 
-// Read reads like net.Conn. drained reports that no input was unread shortly before it returned: Read had to
-// wait for input, or it has read all of it. If the peer had closed the connection at that time, the next
-// Read returns the end of the connection.
-func (r *Reader) Read(b []byte) (n int, drained bool, err error) {
+// ReadResult is the result of a successful or failed Read.
+type ReadResult struct {
+	N       int  // number of bytes
+	Waited  bool // no input was unread at first: the bytes have just arrived
+	Drained bool // no input was unread at the end or shortly before it
+}
+
+// Read reads like net.Conn. If the peer had closed the connection when it was drained, the next Read returns
+// the end of the connection.
+func (r *Reader) Read(b []byte) (ReadResult, error) {
 	if r.conn == nil {
-		return 0, false, net.ErrClosed
+		return ReadResult{}, net.ErrClosed
 	}
 	r.buffer, r.n, r.err, r.waited = b, 0, nil, false
-	err = r.conn.Read(r.read)
+	err := r.conn.Read(r.read)
 	r.buffer = nil
+	failed := ReadResult{Waited: r.waited, Drained: r.waited}
 	switch {
 	case err != nil:
-		return 0, r.waited, err
+		return failed, err
 	case r.err != nil:
-		return 0, r.waited, os.NewSyscallError("read", r.err)
+		return failed, os.NewSyscallError("read", r.err)
 	case r.n == 0 && len(b) > 0:
-		return 0, false, io.EOF
+		return ReadResult{Waited: r.waited}, io.EOF
 	}
-	return r.n, r.waited || r.n < len(b), nil
+	return ReadResult{N: r.n, Waited: r.waited, Drained: r.waited || r.n < len(b)}, nil
 }
 
 // readOnce reads without waiting. It reports whether a result is set: if not, there is no input yet.
--- a/internal/sockstate/receive.go
+++ b/internal/sockstate/receive.go
@@ -110,11 +110,16 @@
 	if conn == nil {
 		return 0, false
 	}
-	err := conn.Control(func(socket uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(socket), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if ok = err == nil; ok {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
-		}
-	})
+	err := conn.Control(func(socket uintptr) { since, ok = sinceLastInput(socket) })
 	return since, ok && err == nil
 }
+
+// sinceLastInput reads only the first part of the socket option TCP_INFO, since it is called often.
+func sinceLastInput(socket uintptr) (since time.Duration, ok bool) {
+	var info unix.TCPInfo
+	needed := uint32(unsafe.Offsetof(info.Last_data_recv) + unsafe.Sizeof(info.Last_data_recv))
+	size := needed
+	_, _, errno := unix.Syscall6(unix.SYS_GETSOCKOPT, socket, unix.IPPROTO_TCP, unix.TCP_INFO,
+		uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+	return time.Duration(info.Last_data_recv) * time.Millisecond, errno == 0 && size >= needed
+}
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -163,9 +163,9 @@
 		text    string
 		drained bool
 	}{{"abcd", false}, {"ef", true}} {
-		n, drained, err := r.Read(b)
-		if string(b[:n]) != want.text || drained != want.drained || err != nil {
-			t.Errorf("got %q, %v, %v; want %q, %v", b[:n], drained, err, want.text, want.drained)
+		got, err := r.Read(b)
+		if string(b[:got.N]) != want.text || got.Drained != want.drained || got.Waited || err != nil {
+			t.Errorf("got %q, %+v, %v; want %q, drained %v", b[:got.N], got, err, want.text, want.drained)
 		}
 	}
 }
@@ -177,21 +177,21 @@
 		t.Fatal(err)
 	}
 	b := make([]byte, 4)
-	if _, drained, err := r.Read(b); !drained || !errors.Is(err, os.ErrDeadlineExceeded) {
-		t.Errorf("got %v, %v; want a wait until the deadline", drained, err)
+	if got, err := r.Read(b); !got.Waited || !got.Drained || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("got %+v, %v; want a wait until the deadline", got, err)
 	}
 	if err := near.SetReadDeadline(time.Time{}); err != nil {
 		t.Fatal(err)
 	}
 	_ = far.Close()
-	if n, _, err := r.Read(b); n != 0 || !errors.Is(err, io.EOF) {
-		t.Errorf("got %d bytes, error %v; want the end", n, err)
+	if got, err := r.Read(b); got.N != 0 || got.Drained || !errors.Is(err, io.EOF) {
+		t.Errorf("got %+v, error %v; want the end", got, err)
 	}
 	_ = near.Close()
-	if _, _, err := r.Read(b); !errors.Is(err, net.ErrClosed) {
+	if _, err := r.Read(b); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("got error %v after the close, want %v", err, net.ErrClosed)
 	}
-	if _, _, err := NewReader(nil).Read(b); !errors.Is(err, net.ErrClosed) {
+	if _, err := NewReader(nil).Read(b); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("got error %v without a connection, want %v", err, net.ErrClosed)
 	}
 }
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -13,6 +13,10 @@
 		c.actions.Fail(req.ID)
 		return
 	}
+	if req.Timeout <= 0 {
+		c.reject(req.ID, rejectExpired, 0) // it waited for too long before it was received
+		return
+	}
 	usualLatency := c.latency.ofClass(req.Class)
 	objective := c.settings.Classes[req.Class].LatencyObjective
 	if c.clientTimeouts.hasExpired(&req, c.clock.isResuming(), usualLatency, objective) {
