Do not take an interrupted wait for a drained connection

Such a read is no longer reported as drained; the gateway asks the kernel whether input is unread and when it arrived.

--- a/internal/gateway/client_presence.go
+++ b/internal/gateway/client_presence.go
@@ -36,8 +36,7 @@
 	case sockstate.Closed:
 		return clientGone
 	case sockstate.Empty:
-		c.drainedAt.Store(now)
-		c.lastSeenAt.Store(now)
+		c.markDrained(now)
 		return clientPresent
 	case sockstate.Unread:
 		c.lastSeenAt.Store(now)
@@ -110,13 +109,23 @@
 	if result.N > 0 {
 		c.lastInputAt.Store(now)
 	}
-	if result.Drained {
-		c.drainedAt.Store(now)
-		c.lastSeenAt.Store(now)
+	switch {
+	case result.Drained:
+		c.markDrained(now)
+	case result.Waited && err != nil && sockstate.Receive(c.writer.RawConn()) == sockstate.Empty:
+		c.markDrained(now)
+	case result.Waited && err != nil:
+		c.markDrained(arrivedAt) // the wait was interrupted, and input had arrived
 	}
 	return result.N, arrivedAt, err
 }
 
+// markDrained records that no input was unread at a time.
+func (c *client) markDrained(at policy.Time) {
+	c.drainedAt.Store(at)
+	c.lastSeenAt.Store(at)
+}
+
 // lastArrival returns when the input arrived for which the reader has waited. The reader may be woken later,
 // if the process gets no processor time.
 func (c *client) lastArrival(now policy.Time) policy.Time {
--- a/internal/sockstate/reader.go
+++ b/internal/sockstate/reader.go
@@ -32,8 +32,8 @@
 // ReadResult is the result of a successful or failed Read.
 type ReadResult struct {
 	N       int  // number of bytes
-	Waited  bool // no input was unread at first: the bytes have just arrived
-	Drained bool // no input was unread at the end or shortly before it
+	Waited  bool // no input was unread at first: the bytes have arrived since
+	Drained bool // the bytes are all that was unread at that time, or Read has waited for them
 }
 
 // Read reads like net.Conn. If the peer had closed the connection when it was drained, the next Read returns
@@ -45,7 +45,7 @@
 	r.buffer, r.n, r.err, r.waited = b, 0, nil, false
 	err := r.conn.Read(r.read)
 	r.buffer = nil
-	failed := ReadResult{Waited: r.waited, Drained: r.waited}
+	failed := ReadResult{Waited: r.waited} // input may have arrived during the wait
 	switch {
 	case err != nil:
 		return failed, err
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -177,7 +178,7 @@
 		t.Fatal(err)
 	}
 	b := make([]byte, 4)
-	if got, err := r.Read(b); !got.Waited || !got.Drained || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if got, err := r.Read(b); !got.Waited || got.Drained || !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("got %+v, %v; want a wait until the deadline", got, err)
 	}
 	if err := near.SetReadDeadline(time.Time{}); err != nil {
@@ -268,3 +269,32 @@
 		}
 	}
 }
+
+// Input arrives and the wait for it is interrupted, before the reader runs. The connection is not reported as
+// drained.
+func TestInterruptedWaitIsNotReportedAsDrained(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the reader does not run between the two calls below
+	near, far := connect(t)
+	r := NewReader(rawConn(t, near))
+	type read struct {
+		result ReadResult
+		err    error
+	}
+	reads := make(chan read, 1)
+	go func() {
+		result, err := r.Read(make([]byte, 1))
+		reads <- read{result, err}
+	}()
+	for range 100 {
+		runtime.Gosched() // until the reader waits
+	}
+	if _, err := far.Write([]byte("xy")); err != nil {
+		t.Fatal(err)
+	}
+	if err := near.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if got := waittest.Receive(t, reads, "the read"); got.err != nil && got.result.Drained {
+		t.Errorf("got %+v, error %v, with unread input", got.result, got.err)
+	}
+}
