--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -40,8 +40,8 @@
 	discoveryPort = ":8500"
 )
 
-// ownPort is the port of a backend at a loopback address of its own. It is outside of the range from which the
-// system assigns ports, so that no other process can take it while the backend does not listen.
+// ownPort is the port of a backend at a loopback address of its own. It is outside of the range from which
+// the system assigns ports, so that no other process can take it while the backend does not listen.
 const ownPort = ":7400"
 
 // TestMain runs the gateway instead of the tests in processes that startGateway has started.
