--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -75,7 +75,7 @@
 func TestCrowdOfSlowClientsStaysWithinMemory(t *testing.T) {
 	for _, limits := range []soakLimits{{64, 384}, {soakMemoryMB, soakDescriptors}} {
 		t.Run(fmt.Sprint(limits.memoryMB, " MB"), func(t *testing.T) {
-			w := newSoakWorld(t, 6)
+			w := newSoakWorld(t)
 			w.limits = limits
 			p := w.startGateway(t)
 			each := limits.descriptors / 15
--- a/cmd/gateway/departed_clients_test.go
+++ b/cmd/gateway/departed_clients_test.go
@@ -50,7 +50,7 @@
 	for _, cause := range causes {
 		for name, behind := range unreadBehind() {
 			t.Run(cause.name+" and "+name, func(t *testing.T) {
-				w := newSoakWorld(t, 6)
+				w := newSoakWorld(t)
 				p := w.startGateway(t)
 				w.setModes(cause.backends, cause.mode)
 				clients := w.letClientsLeave(t, p, behind)
--- a/cmd/gateway/flood_test.go
+++ b/cmd/gateway/flood_test.go
@@ -64,7 +64,7 @@
 func TestFloodOfSomeClientsDoesNotDelayOthers(t *testing.T) {
 	for _, f := range floods() {
 		t.Run(f.name, func(t *testing.T) {
-			w := newSoakWorld(t, 6)
+			w := newSoakWorld(t)
 			p := w.startGateway(t)
 			watch := watchMemory(p)
 			stop := w.flood(t, p, f)
--- a/cmd/gateway/soak_backend_test.go
+++ b/cmd/gateway/soak_backend_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sparspread/internal/sockstate"
 )
 
 // soakBackendMode determines how a soakBackend handles connections and commands.
@@ -94,14 +96,11 @@
 	modeEnds chan struct{} // closed when the mode changes
 }
 
-// soakBackendPort is outside of the range from which the system assigns ports.
-const soakBackendPort = ":7400"
-
 // newSoakBackend starts a backend that is closed when the test ends.
 func newSoakBackend(tb testing.TB, number int, work time.Duration, history *soakHistory) *soakBackend {
 	tb.Helper()
 	b := &soakBackend{
-		tb: tb, number: number, address: randomHost() + soakBackendPort, work: work, history: history,
+		tb: tb, number: number, address: randomHost() + ownPort, work: work, history: history,
 		modeEnds: make(chan struct{}),
 	}
 	b.listener = listenTCPOnly(tb, b.address)
@@ -177,7 +176,7 @@
 		if _, err := in.Peek(1); err != nil {
 			return
 		}
-		call := &soakCall{firstByteAt: time.Now()}
+		call := &soakCall{firstByteAt: arrivalTime(conn)}
 		if err := b.readCall(in, call); err != nil {
 			return
 		}
@@ -189,6 +188,18 @@
 	}
 }
 
+// arrivalTime returns when the input arrived that was last read from a connection, by the kernel's time: the
+// goroutine of the test may be woken later.
+func arrivalTime(conn *net.TCPConn) time.Time {
+	now := time.Now()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return now // the connection is closed
+	}
+	since, _ := sockstate.SinceLastInput(raw) // zero if it is closed
+	return now.Add(-since)
+}
+
 // answer answers a call as the mode says. It reports whether the connection can be used further.
 func (b *soakBackend) answer(
 	conn *net.TCPConn, call *soakCall, mode soakBackendMode, ends <-chan struct{}, wholeAt time.Time,
--- a/cmd/gateway/soak_client_test.go
+++ b/cmd/gateway/soak_client_test.go
@@ -23,6 +23,7 @@
 	class    string
 	bodySize int           // zero for a class that is safe
 	timeout  time.Duration // how long the client waits
+	repeated bool          // its ID was sent before
 	client   *soakClient
 
 	// Set by the client.
@@ -83,16 +84,58 @@
 
 // write writes requests behind each other in one piece, and then further input.
 func (c *soakClient) write(requests []*soakRequest, behind string) {
-	var text strings.Builder
+	c.append(requests)
+	text := encodeAll(requests) + behind
+	_ = c.writePieces(text, requests, len(text), 0) // the caller sees what is answered
+}
+
+// append records requests that are about to be written.
+func (c *soakClient) append(requests []*soakRequest) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, r := range requests {
 		r.client = c
-		text.WriteString(r.encode())
 		c.requests = append(c.requests, r)
 	}
-	c.mu.Unlock()
-	text.WriteString(behind)
-	_ = c.writePieces(text.String(), requests, text.Len(), 0) // the caller sees what is answered
+}
+
+// encodeAll returns the commands of requests behind each other.
+func encodeAll(requests []*soakRequest) string {
+	var text strings.Builder
+	for _, r := range requests {
+		text.WriteString(r.encode())
+	}
+	return text.String()
+}
+
+// hasEnded reports whether the gateway has closed the connection.
+func (c *soakClient) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.endedAt.IsZero()
+}
+
+// hasAllAnswers reports whether each request has an answer.
+func (c *soakClient) hasAllAnswers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.requests) == 0 || c.requests[len(c.requests)-1].answer != ""
+}
+
+// awaitAnswers waits until each request has an answer or the connection has ended, at the longest for the
+// longest timeout and some more time.
+func (c *soakClient) awaitAnswers() {
+	for until := time.Now().Add(6 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		if c.hasAllAnswers() || c.hasEnded() {
+			return
+		}
+	}
+}
+
+// leaveAnswered closes the connection, without leaving requests.
+func (c *soakClient) leaveAnswered() {
+	time.Sleep(10 * time.Millisecond)
+	_ = c.conn.Close()
 }
 
 // writePieces writes text in pieces with a pause after each, and records that the requests were sent.
@@ -120,6 +163,7 @@
 	in := bufio.NewReader(c.conn)
 	for next := 0; ; {
 		answer, err := readSoakAnswer(in)
+		arrivedAt := arrivalTime(c.conn)
 		c.mu.Lock()
 		switch {
 		case err != nil:
@@ -130,7 +174,7 @@
 			return
 		case answer == strings.TrimSpace(pongReply):
 		case next < len(c.requests):
-			c.requests[next].answer, c.requests[next].answeredAt = answer, time.Now()
+			c.requests[next].answer, c.requests[next].answeredAt = answer, arrivedAt
 			next++
 		}
 		c.mu.Unlock()
--- a/cmd/gateway/soak_world_test.go
+++ b/cmd/gateway/soak_world_test.go
@@ -21,8 +21,10 @@
    "window-us":5000000,"worth":5}],
  "tariffs":[{"name":"business","rate":100000,"burst":100000,"value-factor":1}]}`
 
-// soakWork is the time for which a backend works on a command.
-const soakWork = 60 * time.Millisecond
+const (
+	soakBackends = 6
+	soakWork     = 60 * time.Millisecond // time for which a backend works on a command
+)
 
 // soakWorld is what surrounds the gateway of a soak.
 type soakWorld struct {
@@ -34,11 +36,14 @@
 }
 
 // newSoakWorld starts backends and a discovery service that lists them.
-func newSoakWorld(tb testing.TB, backends int) *soakWorld {
+func newSoakWorld(tb testing.TB) *soakWorld {
 	tb.Helper()
-	w := &soakWorld{history: &soakHistory{}, host: randomHost(), limits: soakLimits{soakMemoryMB, soakDescriptors}}
+	w := &soakWorld{
+		history: &soakHistory{}, host: randomHost(),
+		limits: soakLimits{soakMemoryMB, soakDescriptors},
+	}
 	var entries []string
-	for i := range backends {
+	for i := range soakBackends {
 		w.backends = append(w.backends, newSoakBackend(tb, i, soakWork, w.history))
 		entries = append(entries, w.backends[i].entry(phaseReady))
 	}
