--- a/cmd/gateway/hanging_test.go
+++ b/cmd/gateway/hanging_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -43,11 +44,24 @@
 		unix.Listen(socket, 0),
 	)
 	if err != nil {
-		tb.Fatal(err)
+		tb.Fatalf("%v; sockets at the address, as in /proc/net/tcp: %q", err, socketsAt(addressAndPort))
 	}
 	return &hangingListener{address: addressAndPort, socket: socket}
 }
 
+// socketsAt returns the lines of the kernel's table that contain an IPv4 address.
+func socketsAt(address netip.AddrPort) (lines []string) {
+	ip := address.Addr().As4()
+	entry := fmt.Sprintf(" %02X%02X%02X%02X:%04X ", ip[3], ip[2], ip[1], ip[0], address.Port())
+	table, _ := os.ReadFile("/proc/net/tcp") // without it, the message has no lines
+	for line := range strings.Lines(string(table)) {
+		if strings.Contains(line, entry) {
+			lines = append(lines, strings.TrimSpace(line))
+		}
+	}
+	return lines
+}
+
 // attachDropFilter makes a socket drop all packets: the filter truncates each of them to 0 bytes.
 func attachDropFilter(socket int) error {
 	dropAll := unix.SockFprog{Len: 1, Filter: &unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
