Make the tests' listeners release their addresses although a child has a copy

Seen: a stand-in backend of TestFleetKeepsSlowStartBudgetDuringFaults once could not bind its own address again after it had closed its socket: address already in use.

Cause: a child process has copies of all descriptors of its parent until it executes its program. While another fleet starts its gateways, a listener that this process has closed still listens.

Change: listeners of the tests are shut down before they are closed, which ends the listening for all copies. The two functions that listen with TCP only are one.

--- a/cmd/gateway/fakes_test.go
+++ b/cmd/gateway/fakes_test.go
@@ -58,7 +58,7 @@
 func (d *discoveryServer) serve(entries ...string) {
 	d.tb.Helper()
 	if d.listener != nil {
-		_ = d.listener.Close()
+		closeListener(d.listener)
 		d.closeWaiting()
 	}
 	listener := listenUntilEnd(d.tb, d.address)
--- a/cmd/gateway/fleet_backends_test.go
+++ b/cmd/gateway/fleet_backends_test.go
@@ -112,7 +112,7 @@
 // disconnect resets all connections and refuses new ones. The caller holds the lock.
 func (b *fleetBackend) disconnect() {
 	if b.listener != nil {
-		_ = b.listener.Close()
+		closeListener(b.listener)
 		b.listener = nil
 	}
 	if b.hanging != nil {
@@ -132,11 +132,7 @@
 		b.hanging.close()
 		b.hanging = nil
 	}
-	listener, err := listenTCP(b.address)
-	if err != nil {
-		b.tb.Error(err)
-		return
-	}
+	listener := listenTCP(b.tb, b.address)
 	b.listener = listener
 	go acceptEach(listener, func(conn *net.TCPConn) {
 		b.mu.Lock()
--- a/cmd/gateway/hanging_test.go
+++ b/cmd/gateway/hanging_test.go
@@ -78,7 +78,10 @@
 }
 
 // close closes the listener. Hanging dials are refused when the kernel retransmits their SYN packets.
-func (h *hangingListener) close() { _ = unix.Close(h.socket) }
+func (h *hangingListener) close() {
+	stopListening(h.socket)
+	_ = unix.Close(h.socket)
+}
 
 // The tests of slow start and of discovery rely on this: no dial, not even the first, succeeds or fails
 // before the listener is closed.
--- a/cmd/gateway/network_test.go
+++ b/cmd/gateway/network_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
-	"net/netip"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // dial connects to an address within a timeout. It does not use the test's context, because that is cancelled
@@ -15,26 +17,39 @@
 	return dialer.DialContext(context.Background(), network, address)
 }
 
-// listenTCP returns a listener at an address of the form "IP:PORT". The caller closes it.
-func listenTCP(address string) (*net.TCPListener, error) {
-	parsed, err := netip.ParseAddrPort(address)
+// listenTCP returns a listener at an address. The caller closes it with closeListener. The listener does not
+// use Multipath TCP, whose sockets do not support filters.
+func listenTCP(tb testing.TB, address string) *net.TCPListener {
+	tb.Helper()
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
-		return nil, err
+		tb.Fatal(err)
 	}
-	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(parsed))
+	return mustBe[*net.TCPListener](tb, listener)
 }
 
 // listenUntilEnd returns a listener at an address, which is closed when the test ends.
 func listenUntilEnd(tb testing.TB, address string) *net.TCPListener {
 	tb.Helper()
-	listener, err := listenTCP(address)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(func() { _ = listener.Close() })
+	listener := listenTCP(tb, address)
+	tb.Cleanup(func() { closeListener(listener) })
 	return listener
 }
 
+// closeListener closes a listener. Its address can be listened at again immediately.
+func closeListener(listener *net.TCPListener) {
+	if raw, err := listener.SyscallConn(); err == nil {
+		_ = raw.Control(func(socket uintptr) { stopListening(int(socket)) }) // fails if it is closed
+	}
+	_ = listener.Close()
+}
+
+// stopListening makes a socket stop listening although a process that another test starts may have a copy of
+// it: a child process has copies of its parent's descriptors until it executes its program.
+func stopListening(socket int) { _ = unix.Shutdown(socket, unix.SHUT_RD) }
+
 // acceptEach calls handle for each accepted connection until the listener is closed.
 func acceptEach(listener *net.TCPListener, handle func(conn *net.TCPConn)) {
 	for {
@@ -45,3 +60,39 @@
 		handle(conn)
 	}
 }
+
+// A process that another test starts has copies of this process's sockets until it executes its program. They
+// must not keep the address of a closed listener.
+func TestAddressOfClosedListenerIsFreeDespiteCopyOfSocket(t *testing.T) {
+	address := randomHost() + ownPort
+	for range 2 {
+		listener := listenTCP(t, address)
+		copySocket(t, listener)
+		closeListener(listener)
+		hanging := listenHanging(t, address)
+		copyDescriptor(t, hanging.socket)
+		hanging.close()
+	}
+}
+
+// copySocket copies a listener's socket until the test ends.
+func copySocket(tb testing.TB, listener syscall.Conn) {
+	tb.Helper()
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	if err := raw.Control(func(socket uintptr) { copyDescriptor(tb, int(socket)) }); err != nil {
+		tb.Fatal(err)
+	}
+}
+
+// copyDescriptor copies a descriptor until the test ends.
+func copyDescriptor(tb testing.TB, descriptor int) {
+	tb.Helper()
+	duplicate, err := unix.Dup(descriptor)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = unix.Close(duplicate) })
+}
--- a/cmd/gateway/soak_backend_test.go
+++ b/cmd/gateway/soak_backend_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -103,25 +102,11 @@
 		tb: tb, number: number, address: randomHost() + ownPort, work: work, history: history,
 		modeEnds: make(chan struct{}),
 	}
-	b.listener = listenTCPOnly(tb, b.address)
+	b.listener = listenUntilEnd(tb, b.address)
 	go acceptEach(b.listener, func(conn *net.TCPConn) { go b.serve(conn) })
 	return b
 }
 
-// listenTCPOnly returns a listener without Multipath TCP, whose sockets do not support filters. It is closed
-// when the test ends.
-func listenTCPOnly(tb testing.TB, address string) *net.TCPListener {
-	tb.Helper()
-	var config net.ListenConfig
-	config.SetMultipathTCP(false)
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		tb.Fatal(err)
-	}
-	tb.Cleanup(func() { _ = listener.Close() })
-	return mustBe[*net.TCPListener](tb, listener)
-}
-
 // entry returns the entry of the backend in discovery's list.
 func (b *soakBackend) entry(phase string) string {
 	return fmt.Sprintf(
