Give the gateways and backends of the tests addresses that are unique

The log shows that two gateways of the fleet, n6 and n9, had the same random loopback address.

Cause: each address was drawn at random from 15.6 million, without a look at those in use. A run of the suite uses several hundred.

Change: addresses are numbered from a random one on.

--- a/cmd/gateway/descriptors_test.go
+++ b/cmd/gateway/descriptors_test.go
@@ -131,7 +131,7 @@
 // testSaturationWithoutDiscovery checks a saturated gateway before and after discovery becomes available.
 func testSaturationWithoutDiscovery(t *testing.T, c saturationCase) {
 	t.Helper()
-	host := randomHost()
+	host := uniqueHost()
 	draining, added := newBackend(t), newBackend(t)
 	draining.startAnswering()
 	added.startAnswering()
@@ -186,7 +186,7 @@
 // may.
 func testMaximumDescriptorUse(t *testing.T, descriptors int) {
 	t.Helper()
-	host := randomHost()
+	host := uniqueHost()
 	hanging := newBackend(t)
 	var entries []string
 	for i := range descriptors { // with many backends, the concurrency limit allows many concurrent attempts
@@ -249,7 +249,7 @@
 func TestGatewayServesWithLowerProcessLimit(t *testing.T) {
 	b := newBackend(t)
 	b.startAnswering()
-	g := newSaturatedGateway(t, randomHost(), 48, 1024, withKnownEndpoints(b.entry(1, phaseReady)))
+	g := newSaturatedGateway(t, uniqueHost(), 48, 1024, withKnownEndpoints(b.entry(1, phaseReady)))
 	if outcome := g.process.request(); outcome.answer != backendAnswer || outcome.err != nil {
 		t.Error(outcome)
 	}
@@ -262,7 +262,7 @@
 // If the process may open too few descriptors, the gateway writes one message and exits with code 1.
 func TestGatewayExitsIfProcessLimitIsTooLow(t *testing.T) {
 	for _, descriptors := range []int{6, 31} {
-		p := startGateway(t, randomHost(), descriptors, nil)
+		p := startGateway(t, uniqueHost(), descriptors, nil)
 		<-p.exited
 		var exit *exec.ExitError
 		if !errors.As(p.exitError, &exit) || exit.ExitCode() != 1 {
--- a/cmd/gateway/fleet_backends_test.go
+++ b/cmd/gateway/fleet_backends_test.go
@@ -86,7 +86,7 @@
 	tb.Helper()
 	b := &fleetBackend{
 		tb: tb, number: number, slowStart: slowStart, cores: make(chan struct{}, fleetBackendCores),
-		conns: map[*net.TCPConn]struct{}{}, address: randomHost() + ownPort,
+		conns: map[*net.TCPConn]struct{}{}, address: uniqueHost() + ownPort,
 	}
 	b.setMode(backendServes)
 	tb.Cleanup(func() { b.setMode(backendRefuses) })
--- a/cmd/gateway/fleet_test.go
+++ b/cmd/gateway/fleet_test.go
@@ -59,7 +59,7 @@
 	}
 	f.publishBackends()
 	for range settings.gateways {
-		f.hosts = append(f.hosts, randomHost())
+		f.hosts = append(f.hosts, uniqueHost())
 	}
 	for i := range settings.gateways {
 		f.gateways = append(f.gateways, f.startGateway(i))
--- a/cmd/gateway/network_test.go
+++ b/cmd/gateway/network_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -10,6 +13,28 @@
 	"golang.org/x/sys/unix"
 )
 
+// hostByteValues is the number of values of each of the last three bytes of a loopback address.
+const hostByteValues = 250
+
+// hostCount is the number of addresses that uniqueHost returns before it repeats them.
+const hostCount = hostByteValues * hostByteValues * hostByteValues
+
+// The addresses of uniqueHost are numbered from firstHost on. It is random, as other processes use loopback
+// addresses too.
+var (
+	firstHost = rand.Int64N(hostCount)
+	usedHosts atomic.Int64
+)
+
+// uniqueHost returns a loopback address that no other test of this process uses.
+func uniqueHost() string {
+	number := (firstHost + usedHosts.Add(1)) % hostCount
+	last := 1 + number%hostByteValues
+	third := number / hostByteValues % hostByteValues
+	second := 1 + number/hostByteValues/hostByteValues
+	return fmt.Sprintf("127.%d.%d.%d", second, third, last)
+}
+
 // dial connects to an address within a timeout. It does not use the test's context, because that is cancelled
 // before the clients of a fleet are stopped.
 func dial(network, address string, timeout time.Duration) (net.Conn, error) {
@@ -64,7 +89,7 @@
 // A process that another test starts has copies of this process's sockets until it executes its program. They
 // must not keep the address of a closed listener.
 func TestAddressOfClosedListenerIsFreeDespiteCopyOfSocket(t *testing.T) {
-	address := randomHost() + ownPort
+	address := uniqueHost() + ownPort
 	for range 2 {
 		listener := listenTCP(t, address)
 		copySocket(t, listener)
@@ -96,3 +121,16 @@
 	}
 	tb.Cleanup(func() { _ = unix.Close(duplicate) })
 }
+
+// Gateways and backends at the same address would disturb each other's tests.
+func TestHostsAreUnique(t *testing.T) {
+	const hosts = 50_000 // so many random addresses would not be unique
+	known := map[string]bool{}
+	for range hosts {
+		host := uniqueHost()
+		if known[host] {
+			t.Fatalf("address %s was returned twice among %d", host, len(known)+1)
+		}
+		known[host] = true
+	}
+}
--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -55,11 +54,6 @@
 	os.Exit(code)
 }
 
-// randomHost returns a random loopback address for a test. Two tests are unlikely to get the same address.
-func randomHost() string {
-	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
-}
-
 // settingsText contains the settings of the only gateway of a tier.
 const settingsText = `{"self-index":0,"balancers":1,"az":0,"granularity-us":4000,"localities":["a"],
  "ceilings":{"peers":true,"probes":false,"second-copies":true,"retry-after":true,"max-attempts":3,
@@ -125,7 +119,7 @@
 	p := &gatewayProcess{
 		program: first.program, host: first.host,
 		configPath: filepath.Join(filepath.Dir(first.configPath), "successor.json"),
-		opsHost:    randomHost(), exited: make(chan struct{}),
+		opsHost:    uniqueHost(), exited: make(chan struct{}),
 	}
 	p.writeConfig(tb, func(fields map[string]any) {
 		change(fields)
--- a/cmd/gateway/soak_backend_test.go
+++ b/cmd/gateway/soak_backend_test.go
@@ -99,7 +99,7 @@
 func newSoakBackend(tb testing.TB, number int, work time.Duration, history *soakHistory) *soakBackend {
 	tb.Helper()
 	b := &soakBackend{
-		tb: tb, number: number, address: randomHost() + ownPort, work: work, history: history,
+		tb: tb, number: number, address: uniqueHost() + ownPort, work: work, history: history,
 		modeEnds: make(chan struct{}),
 	}
 	b.listener = listenUntilEnd(tb, b.address)
--- a/cmd/gateway/soak_world_test.go
+++ b/cmd/gateway/soak_world_test.go
@@ -39,7 +39,7 @@
 func newSoakWorld(tb testing.TB) *soakWorld {
 	tb.Helper()
 	w := &soakWorld{
-		history: &soakHistory{}, host: randomHost(),
+		history: &soakHistory{}, host: uniqueHost(),
 		limits: soakLimits{soakMemoryMB, soakDescriptors},
 	}
 	var entries []string
--- a/cmd/gateway/start_test.go
+++ b/cmd/gateway/start_test.go
@@ -22,7 +22,7 @@
 	}
 	hosts := make([]string, gateways)
 	for i := range hosts {
-		hosts[i] = randomHost()
+		hosts[i] = uniqueHost()
 		switch i % 3 {
 		case 1:
 			newDiscoveryServer(t, hosts[i]).acceptWithoutAnswer()
