Hand over clients with little input before those with megabytes

Cause: the predecessor writes messages to its successor in one order. Since it reads ahead as long as memory is free, it hands over up to a megabyte of input with each connection of a client that floods it.

Change: a connection with more than 64 KiB of unprocessed input is sent once no other message waits. The messages and their order for one client are unchanged.

--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -4,25 +4,32 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
 	"sparspread/policy"
 )
 
-// Link is the predecessor's connection to its successor. It queues messages, and its goroutine writes them in
-// order until Close is called. Methods that send block while maxQueuedMessages messages are queued. All
-// methods must be called from one goroutine, that of the event loop.
+// Link is the predecessor's connection to its successor. It queues messages, and its goroutine writes them
+// until Close is called: first those of the queue, in order, and while that is empty the connections of bulk.
+// Methods that send block while maxQueuedMessages messages are in a queue. All methods must be called from
+// one goroutine, that of the event loop.
 type Link struct {
 	conn    *net.UnixConn
 	queue   chan outgoingMessage
-	written chan struct{} // closed when the queue is closed and all its messages are written
+	bulk    chan outgoingMessage // clients whose input delays messages behind it
+	written chan struct{}        // closed when the queues are closed and all their messages are written
 	closed  bool
 }
 
+// maxPromptInput is the maximum length of unprocessed input of a client that is sent before others.
+const maxPromptInput = 2 * maxBodyBytes
+
 // outgoingMessage is a message to be written.
 type outgoingMessage struct {
 	kind   kind
+	input  []byte // of a client, written in messages before this one
 	body   []byte
 	socket syscall.RawConn // sent with the message; may be nil
 	onSent func()          // called when the message is written or writing has failed; may be nil
@@ -33,22 +40,21 @@
 	link := &Link{
 		conn:    conn,
 		queue:   make(chan outgoingMessage, maxQueuedMessages),
+		bulk:    make(chan outgoingMessage, maxQueuedMessages),
 		written: make(chan struct{}),
 	}
-	go link.writeQueue()
+	go link.writeQueues()
 	return link
 }
 
-// writeQueue writes messages until the queue is closed. After a failed write the connection is unusable, and
-// the remaining messages are dropped.
-func (l *Link) writeQueue() {
+// writeQueues writes messages until the queues are closed. After a failed write the connection is unusable,
+// and the remaining messages are dropped.
+func (l *Link) writeQueues() {
 	defer close(l.written)
 	var writeErr error
-	for m := range l.queue {
+	for m, ok := l.next(); ok; m, ok = l.next() {
 		if writeErr == nil {
-			// SetWriteDeadline fails only on a closed connection.
-			_ = l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if writeErr = writeMessage(l.conn, m.kind, m.body, m.socket); writeErr != nil {
+			if writeErr = l.write(m); writeErr != nil {
 				_ = l.conn.Close()
 			}
 		}
@@ -59,38 +65,69 @@
 	_ = l.conn.Close()
 }
 
-// send queues a message. It blocks while the queue is full.
-func (l *Link) send(m outgoingMessage) { l.queue <- m }
+// next waits for a message. ok is false if the queues are closed and empty.
+func (l *Link) next() (m outgoingMessage, ok bool) {
+	select {
+	case m, ok = <-l.queue:
+	default:
+		select {
+		case m, ok = <-l.queue:
+		case m, ok = <-l.bulk:
+		}
+	}
+	if !ok { // one queue is closed and empty, and the other one is closed too
+		if m, ok = <-l.queue; !ok {
+			m, ok = <-l.bulk
+		}
+	}
+	return m, ok
+}
 
-// sendInChunks sends a body of any length, the last chunk as a message of lastKind and the chunks before it
-// as messages of chunkKind.
-func (l *Link) sendInChunks(chunkKind, lastKind kind, body []byte) {
-	for len(body) > maxBodyBytes {
-		l.send(outgoingMessage{kind: chunkKind, body: body[:maxBodyBytes]})
-		body = body[maxBodyBytes:]
+// write writes a message, behind the input that belongs to it.
+func (l *Link) write(m outgoingMessage) error {
+	for chunk := range slices.Chunk(m.input, maxBodyBytes) {
+		if err := l.writeInTime(kindInput, chunk, nil); err != nil {
+			return err
+		}
 	}
-	l.send(outgoingMessage{kind: lastKind, body: body})
+	return l.writeInTime(m.kind, m.body, m.socket)
+}
+
+// writeInTime writes one packet within writeTimeout.
+func (l *Link) writeInTime(messageKind kind, body []byte, socket syscall.RawConn) error {
+	_ = l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
+	return writeMessage(l.conn, messageKind, body, socket)
 }
 
-// SendState sends an encoded state.
+// send queues a message. It blocks while the queue is full.
+func (l *Link) send(m outgoingMessage) { l.queue <- m }
+
+// SendState sends an encoded state, in chunks.
 func (l *Link) SendState(encoded []byte) {
-	l.sendInChunks(kindStateChunk, kindStateEnd, encoded)
+	for len(encoded) > maxBodyBytes {
+		l.send(outgoingMessage{kind: kindStateChunk, body: encoded[:maxBodyBytes]})
+		encoded = encoded[maxBodyBytes:]
+	}
+	l.send(outgoingMessage{kind: kindStateEnd, body: encoded})
 }
 
 // TransferOwnership makes the successor the owner of the state. The successor then starts to serve.
 func (l *Link) TransferOwnership() { l.send(outgoingMessage{kind: kindOwnership}) }
 
-// SendClient sends a client's connection, and the input that was read from it but not processed. The caller
-// must keep its own descriptor open until onSent is called, and then close it. If the description of the
-// connection can't be encoded, SendClient sends the socket without it and returns the error.
+// SendClient sends a client's connection, and the input that was read from it but not processed. A connection
+// with more input than maxPromptInput is sent once no other message waits. The caller must keep its own
+// descriptor open until onSent is called, and then close it. If the description of the connection can't be
+// encoded, SendClient sends the socket without it and returns the error.
 func (l *Link) SendClient(
 	client ClientConnection, input []byte, socket syscall.RawConn, onSent func(),
 ) error {
-	if len(input) > 0 {
-		l.sendInChunks(kindInput, kindInput, input)
-	}
 	body, err := EncodeClientConnection(client)
-	l.send(outgoingMessage{kind: kindClient, body: body, socket: socket, onSent: onSent})
+	message := outgoingMessage{kind: kindClient, input: input, body: body, socket: socket, onSent: onSent}
+	if len(input) > maxPromptInput {
+		l.bulk <- message
+	} else {
+		l.send(message)
+	}
 	return err
 }
 
@@ -132,6 +169,7 @@
 	if !l.closed {
 		l.closed = true
 		close(l.queue)
+		close(l.bulk)
 	}
 }
 
