Exit only after a slow successor has received all connections

Cause: a predecessor that exits waited 2 s in all for its messages to the successor. Connections that were not written by then ended with the process, with their clients' requests unanswered.

Change: the process waits as long as the successor reads. A message that cannot be written within 2 s still ends the wait, so a successor that has stopped does not hold it up.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -62,7 +62,7 @@
 	IsClosed() bool
 	// Close closes the link after the queued messages are written, without waiting for that.
 	Close()
-	// CloseAndWait closes the link and waits a limited time for the queued messages to be written.
+	// CloseAndWait closes the link and waits for the queued messages to be written while the successor reads.
 	CloseAndWait()
 }
 
@@ -252,7 +252,8 @@
 // ownership was released, because the successor may have replaced it by its own.
 func (h *outgoingHandover) stopListening() { h.listener.Close(!h.hasReleasedOwnership()) }
 
-// close closes the link to a successor, if any. It waits a limited time for queued messages to be written.
+// close closes the link to a successor, if any. It waits until the successor has received what was sent, or
+// has stopped to read.
 func (h *outgoingHandover) close() {
 	if h.isActive() {
 		h.link.CloseAndWait()
--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -173,17 +173,11 @@
 	}
 }
 
-// CloseAndWait closes the link and waits up to writeTimeout for all queued messages to be written. It does
-// nothing if the link is already closed.
+// CloseAndWait closes the link and waits until all queued messages are written, or one of them could not be
+// written within writeTimeout.
 func (l *Link) CloseAndWait() {
-	if l.closed {
-		return
-	}
 	l.Close()
-	select {
-	case <-l.written:
-	case <-time.After(writeTimeout):
-	}
+	<-l.written
 }
 
 // writeMessage writes one packet with a message and its sockets. It omits sockets that are nil.
--- a/internal/handover/conn_test.go
+++ b/internal/handover/conn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -138,3 +139,28 @@
 		}
 	}
 }
+
+// A process that exited before a slow successor had received all connections cut off the rest of them.
+func TestCloseWaitsWhileSuccessorReceives(t *testing.T) {
+	const clients = 6
+	const inputBytes = 20 * maxBodyBytes // more than the socket's buffer holds
+	predecessor, successor := connectedPair(t)
+	link := newLink(predecessor)
+	var sent atomic.Int64
+	for i := range clients {
+		sendClient(t, link, i, inputBytes, func() { sent.Add(1) })
+	}
+	sentAtClose := make(chan int64, 1)
+	go func() {
+		link.CloseAndWait()
+		sentAtClose <- sent.Load()
+	}()
+	// Each read is in time for a message, all of them together are not.
+	for range clients {
+		time.Sleep(writeTimeout / 4)
+		receiveClients(t, successor, 1)
+	}
+	if n := <-sentAtClose; n != clients {
+		t.Errorf("%d of %d clients were sent before the close returned", n, clients)
+	}
+}
