Count a timeout from its sending also if the client's system held the request back

Cause: while a body is forwarded slowly, the requests behind it fill the receive buffer, and the client's system holds the rest back. When the reader empties the buffer, the rest arrives, and counted as new.

Change: a read reports whether the receive window may have been shut before it. If the input had waited for more than 20 ms, what arrives up to 10 ms after the connection is drained counts from the drain before. The handover passes that time on.

Result: the new test, with a small receive buffer, failed before with 59.98 s instead of 50 s.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -36,7 +36,7 @@
 	ignoreInput  atomic.Bool  // set by the event loop: further input is not parsed
 	disconnected atomic.Bool  // the peer has closed; clientDisconnected may be queued
 	lastInputAt  atomic.Int64 // set by the reader: when input last arrived; zero if none has
-	drainedAt    atomic.Int64 // when it was last known that no input was unread
+	pending      pendingInput // input that is not read yet
 	lastSeenAt   atomic.Int64 // when the client was last known to be connected; see client_presence.go
 	readerWaits  atomic.Int32 // set by the reader: a readerWait
 	handingOver  atomic.Bool  // set by the event loop: the reader stops before the next command
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -33,7 +33,7 @@
 	}
 	since := e.unprocessedSince(c.writer.RawConn(), now)
 	c.lastSeenAt.Store(since)
-	c.drainedAt.Store(since)
+	c.pending.init(since)
 	inherited := arrivedInput{e.inheritedInput, since}
 	cs.conns[c] = true
 	// A connection that is accepted from the backlog during a shutdown gets a reply to one command only.
--- a/internal/gateway/client_disconnect_rig_test.go
+++ b/internal/gateway/client_disconnect_rig_test.go
@@ -61,8 +61,26 @@
 
 // newWaitingRequest sends the request and handles events up to its dial.
 func newWaitingRequest(t *testing.T, fields string, method disconnectMethod) *waitingRequest {
+	t.Helper()
+	return newWaitingRequestWith(t, fields, method, nil)
+}
+
+// newWaitingRequestWith is like newWaitingRequest. prepareListener, which may be nil, is called with the
+// socket that accepts the client.
+func newWaitingRequestWith(
+	t *testing.T, fields string, method disconnectMethod, prepareListener func(syscall.RawConn) error,
+) *waitingRequest {
 	t.Helper()
 	g, b, dialing, unblock := newGatewayWithBlockedDials(t)
+	if prepareListener != nil {
+		raw, err := g.listening.listener.SyscallConn()
+		if err == nil {
+			err = prepareListener(raw)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
 	c := connectWithRequest(t, g, fields)
 	wait(t, dialing, "the dial")
 	return &waitingRequest{
@@ -161,14 +179,17 @@
 	return g
 }
 
-// withSmallestBuffer returns a control function that sets a buffer of a socket, SO_RCVBUF or SO_SNDBUF, to
-// the minimum size that the system allows.
+// withSmallestBuffer returns a control function that calls setSmallestBuffer.
 func withSmallestBuffer(option int) func(network, address string, conn syscall.RawConn) error {
-	return func(_, _ string, conn syscall.RawConn) error {
-		var optionErr error
-		err := conn.Control(func(socket uintptr) {
-			optionErr = syscall.SetsockoptInt(int(socket), syscall.SOL_SOCKET, option, 1)
-		})
-		return errors.Join(err, optionErr)
-	}
+	return func(_, _ string, conn syscall.RawConn) error { return setSmallestBuffer(conn, option) }
+}
+
+// setSmallestBuffer sets a buffer of a socket, SO_RCVBUF or SO_SNDBUF, to the minimum size that the system
+// allows.
+func setSmallestBuffer(conn syscall.RawConn, option int) error {
+	var optionErr error
+	err := conn.Control(func(socket uintptr) {
+		optionErr = syscall.SetsockoptInt(int(socket), syscall.SOL_SOCKET, option, 1)
+	})
+	return errors.Join(err, optionErr)
 }
--- a/internal/gateway/client_presence.go
+++ b/internal/gateway/client_presence.go
@@ -97,20 +97,24 @@
 }
 
 // readSocket reads from the connection in the reader goroutine, and records when the client was last seen. It
-// returns the number of bytes and the earliest time at which they may have arrived: if they were there before
-// the reader read them, they arrived after the connection was last drained.
+// returns the number of bytes and the earliest time at which the client may have sent them: if they were
+// there before the reader read them, that is after the connection was last drained.
 func (c *client) readSocket(b []byte) (n int, arrivedAt policy.Time, err error) {
-	arrivedAt = c.drainedAt.Load()
+	arrivedAt = c.pending.earliest()
 	result, err := c.socket.Read(b)
 	now := c.clock.Now()
+	if result.WindowShut && now-arrivedAt > arrivalResolution {
+		c.pending.markHeld(arrivedAt)
+	}
 	if result.Waited {
-		arrivedAt = max(arrivedAt, c.lastArrival(now))
+		arrivedAt = c.pending.earliestAt(c.lastArrival(now))
 	}
 	if result.N > 0 {
 		c.lastInputAt.Store(now)
 	}
 	switch {
 	case result.Drained:
+		c.pending.releaseHeld(now)
 		c.markDrained(now)
 	case result.Waited && err != nil && sockstate.Receive(c.writer.RawConn()) == sockstate.Empty:
 		c.markDrained(now)
@@ -122,7 +126,7 @@
 
 // markDrained records that no input was unread at a time.
 func (c *client) markDrained(at policy.Time) {
-	c.drainedAt.Store(at)
+	c.pending.markDrained(at)
 	c.lastSeenAt.Store(at)
 }
 
--- a/internal/gateway/command_queue.go
+++ b/internal/gateway/command_queue.go
@@ -87,8 +87,8 @@
 // also if it is still in the kernel. It is now if there is none.
 func (c *client) unprocessedSince(now policy.Time) policy.Time {
 	since := now
-	if sockstate.Receive(c.writer.RawConn()) != sockstate.Empty {
-		since = min(since, c.drainedAt.Load())
+	if sockstate.Receive(c.writer.RawConn()) != sockstate.Empty || c.pending.mayBeHeld(now) {
+		since = min(since, c.pending.earliest())
 	}
 	if len(c.unparsedInput.bytes) > 0 {
 		since = min(since, c.unparsedInput.arrivedAt)
--- a/internal/gateway/input_arrival_test.go
+++ b/internal/gateway/input_arrival_test.go
@@ -3,8 +3,11 @@
 import (
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 
+	"golang.org/x/sys/unix"
+
 	"sparspread/internal/sockstate"
 	"sparspread/policy"
 )
@@ -73,3 +76,55 @@
 		t.Error("the request was admitted after its time")
 	}
 }
+
+// A client's system holds a request back while the receive window is shut. The timeout that is passed on is
+// what the client has left, although the request arrives only when the gateway reads again.
+func TestTimeoutPassedOnExcludesTimeHeldBackByClient(t *testing.T) {
+	const waited = 10 * second
+	// The reader empties a small buffer at once, and the client's system then sends what it has held back.
+	w := newWaitingRequestWith(t, notRetryable, nil, func(listener syscall.RawConn) error {
+		return setSmallestBuffer(listener, syscall.SO_RCVBUF)
+	})
+	defer close(w.unblock)
+	w.stopReadAhead()
+	w.fillReceiveWindow()
+	fields := notRetryable + ",t=team,d=60000,units=1,spread=1,first=0"
+	w.client.send("API.WRITE", "0000000000000007", "0000000000000002", fields, "x")
+	advanceInSteps(t, w.gateway, waited)
+	w.completeDial() // the first request is rejected, as its client cannot be seen; the rest is read
+	handleUntil(t, w.gateway, "the second request", func() bool {
+		return w.gateway.requests.openByClientRequestID[secondRequestID] != nil
+	})
+	r := w.gateway.requests.openByClientRequestID[secondRequestID]
+	if left := r.deadline - w.gateway.events.Now(); left > 60*second-waited {
+		t.Errorf("the request has %d us left, want at most %d", left, 60*second-waited)
+	}
+	// What arrives later is new.
+	advanceInSteps(t, w.gateway, second)
+	w.client.sendLookup(secondRequestID + 1)
+	handleUntil(t, w.gateway, "the third request", func() bool {
+		return w.gateway.requests.openByClientRequestID[secondRequestID+1] != nil
+	})
+	r = w.gateway.requests.openByClientRequestID[secondRequestID+1]
+	if left := r.deadline - w.gateway.events.Now(); left < 59*second {
+		t.Errorf("the request that was sent later has only %d us left", left)
+	}
+}
+
+// fillReceiveWindow writes PINGs until the client's system holds some of them back.
+func (w *waitingRequest) fillReceiveWindow() {
+	w.t.Helper()
+	raw, err := w.client.conn.SyscallConn()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for heldBack := 0; heldBack == 0; {
+		w.client.write(strings.Repeat("*1\r\n$4\r\nPING\r\n", maxPipelined))
+		err := raw.Control(func(socket uintptr) {
+			heldBack, _ = unix.IoctlGetInt(int(socket), unix.SIOCOUTQNSD)
+		})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/pending_input.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+
+	"sparspread/policy"
+)
+
+// heldInputDelay is the maximum time from the moment at which a connection is drained until the input arrives
+// that the client's system has held back.
+const heldInputDelay = 10 * millisecond
+
+// Special values of pendingInput.heldUntil.
+const (
+	nothingHeld      = math.MinInt64
+	heldUntilDrained = math.MaxInt64 // until the connection is drained
+)
+
+// pendingInput describes the input of a connection that the reader has not read yet. It is in the kernel, or,
+// while the receive window is shut, in the client's system. It is safe for concurrent use.
+type pendingInput struct {
+	mu        sync.Mutex  // guards the fields below
+	sentSince policy.Time // the earliest time at which the client may have sent it
+	heldUntil policy.Time // input that arrives until then may have been held back
+}
+
+// init sets the earliest time at which the client may have sent input.
+func (p *pendingInput) init(sentSince policy.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sentSince, p.heldUntil = sentSince, nothingHeld
+}
+
+// earliest returns the earliest time at which the client may have sent the input.
+func (p *pendingInput) earliest() policy.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.sentSince
+}
+
+// earliestAt is like earliest for input of which the last part arrived at a time, after the connection was
+// drained.
+func (p *pendingInput) earliestAt(arrivedAt policy.Time) policy.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if arrivedAt <= p.heldUntil {
+		return p.sentSince
+	}
+	return max(p.sentSince, arrivedAt)
+}
+
+// mayBeHeld reports whether input that arrives now may have been held back.
+func (p *pendingInput) mayBeHeld(now policy.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now <= p.heldUntil
+}
+
+// markDrained records that no input was in the kernel at a time.
+func (p *pendingInput) markDrained(at policy.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if at > p.heldUntil {
+		p.sentSince = at
+	}
+}
+
+// markHeld records that the receive window may have been shut since a time.
+func (p *pendingInput) markHeld(since policy.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sentSince, p.heldUntil = since, heldUntilDrained
+}
+
+// releaseHeld records that the reader has drained the connection, so that the client's system sends what it
+// has held back.
+func (p *pendingInput) releaseHeld(now policy.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.heldUntil == heldUntilDrained {
+		p.heldUntil = now + heldInputDelay
+	}
+}
--- a/internal/sockstate/reader.go
+++ b/internal/sockstate/reader.go
@@ -20,6 +20,7 @@
 	n      int
 	err    error
 	waited bool // nothing was unread at the first attempt
+	shut   bool // the receive window may have been shut at the first attempt
 }
 
 // NewReader returns a Reader for a connection. A nil connection is closed.
@@ -34,6 +35,9 @@
 	N       int  // number of bytes
 	Waited  bool // no input was unread at first: the bytes have arrived since
 	Drained bool // the bytes are all that was unread at that time, or Read has waited for them
+	// WindowShut means that the receive window may have been shut before. The peer's system may have held
+	// back input that follows.
+	WindowShut bool
 }
 
 // Read reads like net.Conn. If the peer had closed the connection when it was drained, the next Read returns
@@ -42,7 +46,7 @@
 	if r.conn == nil {
 		return ReadResult{}, net.ErrClosed
 	}
-	r.buffer, r.n, r.err, r.waited = b, 0, nil, false
+	r.buffer, r.n, r.err, r.waited, r.shut = b, 0, nil, false, false
 	err := r.conn.Read(r.read)
 	r.buffer = nil
 	failed := ReadResult{Waited: r.waited} // input may have arrived during the wait
@@ -54,11 +58,16 @@
 	case r.n == 0 && len(b) > 0:
 		return ReadResult{Waited: r.waited}, io.EOF
 	}
-	return ReadResult{N: r.n, Waited: r.waited, Drained: r.waited || r.n < len(b)}, nil
+	return ReadResult{
+		N: r.n, Waited: r.waited, Drained: r.waited || r.n < len(b), WindowShut: r.shut && !r.waited,
+	}, nil
 }
 
 // readOnce reads without waiting. It reports whether a result is set: if not, there is no input yet.
 func (r *Reader) readOnce(socket uintptr) (done bool) {
+	if !r.waited {
+		r.shut = !isWindowOpen(int(socket))
+	}
 	for {
 		r.n, r.err = unix.Read(int(socket), r.buffer)
 		switch {
