Let the commands of a client wait that does not read, instead of closing its connection

Cause: each answer was sent as it came, and above 128 KiB of unread answers the connection was closed, while further requests of it were sent to backends.

Change: the reader of a connection waits while more than 128 KiB of its replies are unread. Unread replies of all clients are counted in the writers: above an eighth of the memory commands of all clients with unread replies wait, above a quarter the client with the most is disconnected. A client that has stopped to read is disconnected when the time of its requests is over. The soak has clients that pause reading, and records when a close arrives during a pause.

--- a/cmd/gateway/soak_test.go
+++ b/cmd/gateway/soak_test.go
@@ -240,6 +240,9 @@
 func (s *soak) runStayingClient(random *rand.Rand, c *soakClient) {
 	for !s.hasEnded() && !c.hasEnded() {
 		requests := s.drawRequests(random)
+		if random.IntN(8) == 0 {
+			c.pauseReading(time.Duration(random.Int64N(int64(maxReadPause))))
+		}
 		c.append(requests)
 		text := encodeAll(requests)
 		if random.IntN(3) == 0 {
--- a/internal/gateway/backend_dial.go
+++ b/internal/gateway/backend_dial.go
@@ -72,7 +72,7 @@
 	}
 	b.shortagePauses = 0
 	c := &backendConn{
-		backend: b, conn: e.conn, writer: sockwriter.New(e.conn), done: make(chan struct{}),
+		backend: b, conn: e.conn, writer: sockwriter.New(e.conn, nil), done: make(chan struct{}),
 		valueDestination: make(chan *sockwriter.Writer, 1),
 	}
 	if e.address != b.address || e.startedAtMS != b.startedAtMS {
--- a/internal/gateway/backend_write.go
+++ b/internal/gateway/backend_write.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	if n < len(command) {
-		c.writer.Send(command[n:], len(command))
+		c.writer.Send(command[n:])
 	} else if a.request != nil && a.request.body == nil {
 		a.markFullyWritten()
 	}
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -6,15 +6,13 @@
 	"time"
 
 	"sparspread/internal/eventloop"
-	"sparspread/internal/resp"
 	"sparspread/internal/sockstate"
 	"sparspread/internal/sockwriter"
 	"sparspread/policy"
 )
 
 const (
-	maxPipelined   = 256               // maximum number of commands of one connection that wait for a reply
-	maxUnreadReply = 2 * resp.MaxValue // number of unread bytes of replies above which a connection is closed
+	maxPipelined = 256 // maximum number of commands of one connection that wait for a reply
 
 	// A connection is closed if it has sent no request for maxIdleTime, or for maxIdleTimeAfterSingle if it
 	// has sent a single request so far.
@@ -39,6 +37,7 @@
 	pending      pendingInput // input that is not read yet
 	lastSeenAt   atomic.Int64 // when the client was last known to be connected; see client_presence.go
 	readerWaits  atomic.Int32 // set by the reader: a readerWait
+	answersDueAt atomic.Int64 // set by the reader: when its client last waits for an answer
 	handingOver  atomic.Bool  // set by the event loop: the reader stops before the next command
 
 	// Used only by the event loop's goroutine.
@@ -51,6 +50,7 @@
 	commandCount          int        // number of well-formed commands
 	consecutiveErrors     int        // number of malformed commands since the last well-formed one
 	lastCommandAt         policy.Time
+	unread                unreadReplies
 
 	// Set during a handover.
 	queuedCommands []receivedCommand // to be handled after the handover, in this order; see command_queue.go
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -25,8 +25,8 @@
 	cs.counts.accepted++
 	cs.counts.longestAccept = max(cs.counts.longestAccept, time.Since(e.openedAt).Microseconds())
 	c := &client{
-		conn: e.conn, writer: sockwriter.New(e.conn), socket: newSocketReader(e.conn),
-		openedAt: e.openedAt, clock: g.clock,
+		conn: e.conn, writer: sockwriter.New(e.conn, &g.memory.unwrittenBytes),
+		socket: newSocketReader(e.conn), openedAt: e.openedAt, clock: g.clock,
 		pipelineSlots: make(chan struct{}, maxPipelined), done: make(chan struct{}),
 		queuedBytes: &g.memory.inputBytes, lastCommandAt: now,
 		commandCount: e.commandCount,
--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -92,12 +92,6 @@
 	e.client.close(g, clientLeft)
 }
 
-// repliesUnread reports that a client has left too many replies unread.
-type repliesUnread struct{ client *client }
-
-// Handle implements event.
-func (e repliesUnread) Handle(g *Gateway) { e.client.close(g, clientRepliesUnread) }
-
 // close closes the connection at once and cancels its open requests. Only the first call has an effect.
 func (c *client) close(g *Gateway, reason clientCloseReason) {
 	if c.closed {
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -102,7 +102,8 @@
 		c.setReadDeadline(time.Time{})
 	}
 	head := e.head()
-	if !c.acquirePipelineSlot(g) {
+	c.recordAnswerDue(e)
+	if !c.acquirePipelineSlot(g) || !c.awaitRepliesRead(g) {
 		head.releaseInput(g)
 		return readerStep{kind: stopReader}
 	}
--- a/internal/gateway/client_reply.go
+++ b/internal/gateway/client_reply.go
@@ -4,16 +4,16 @@
 
 // flushReplies writes the replies at the head of the pipeline in one write, up to the first unanswered
 // request, and starts the transfer of that request's large value, if it has one. If the pipeline is empty
-// afterwards, the connection is closed or handed over, if that is due. A client that leaves too many replies
-// unread is disconnected.
+// afterwards, the connection is closed or handed over, if that is due.
 func (c *client) flushReplies(g *Gateway) {
 	answered, replies := c.collectReplies(g)
 	if answered == 0 {
 		return
 	}
 	c.pipeline = slices.Delete(c.pipeline, 0, answered)
-	if !c.closed && len(replies) > 0 && !c.writer.Send(replies, maxUnreadReply) {
-		g.events.Defer(repliesUnread{client: c})
+	if !c.closed && len(replies) > 0 {
+		c.writer.Send(replies)
+		g.limitUnreadReplies()
 	}
 	if len(c.pipeline) == 0 {
 		c.closeIfAnswered(g)
--- a/internal/gateway/client_report.go
+++ b/internal/gateway/client_report.go
@@ -90,6 +90,6 @@
 		"left_with_open_request", counts.leftWithOpenRequest,
 		"left_behind_input", counts.leftBehindInput, "attempts_unseen", counts.unseen,
 		"longest_disconnect_us", counts.longestDisconnect,
-		"read_ahead_full", cs.readAheadFull.Swap(0))
+		"read_ahead_full", cs.readAheadFull.Swap(0), "unread_waits", cs.unreadWaits.Swap(0))
 	g.log.Info("clients", attributes...)
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -17,6 +17,9 @@
 	// readAheadFull counts, since the counts were last logged, how often there was no memory to read ahead.
 	// It is safe for any goroutine.
 	readAheadFull atomic.Int64
+	// unreadWaits counts, since the counts were last logged, how often commands waited because their client
+	// left too many replies unread. It is safe for any goroutine.
+	unreadWaits atomic.Int64
 }
 
 func newClients(budget descriptors.Budget) *clients {
@@ -35,6 +38,7 @@
 	now := g.events.Now()
 	for c := range cs.conns {
 		c.detectDisconnect(g)
+		c.closeIfUnread(g, now)
 		c.refuseDelayedCommands(g, now)
 		c.handOver(g)
 		c.closeIfAnswered(g)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -77,9 +77,12 @@
 
 // memoryUse counts the bytes of memory that clients occupy.
 type memoryUse struct {
-	// retainedBytes is the size of the requests in the table and of the replies that are not written yet. It
-	// is used only by the event loop's goroutine.
+	// retainedBytes is the size of the requests in the table and of the replies that wait for earlier ones of
+	// their connection. It is used only by the event loop's goroutine.
 	retainedBytes int
+	// unwrittenBytes is the size of the replies that the kernel has not accepted, because their clients do
+	// not read. It is safe for any goroutine.
+	unwrittenBytes atomic.Int64
 	// inputBytes is the size of the input that waits for the event loop: input that was read ahead, and
 	// queued commands. It is safe for any goroutine.
 	inputBytes atomic.Int64
