Give a gateway without demand no share of the ceiling that follows demand

Cause: half of a ceiling follows demand. A gateway without demand counted an even share of that half, while the only one with demand counted all of it: the shares added up to 1.33.

Change: without demand of its own a gateway counts none of that half, unless nobody has demand.

--- a/policy/customer.go
+++ b/policy/customer.go
@@ -78,6 +78,17 @@
 	return 1 / float64(c.replicas)
 }
 
+// demandShare returns this gateway's share of the demand at all gateways of the replica set, or an even share
+// if there is no demand. Unlike quotaShare it is zero at a gateway without demand of its own, so that the
+// shares of gateways with the same view of the demand add up to one.
+func (c *customer) demandShare(now Time) float64 {
+	own, total := c.demand.ownDemand(now), c.demand.total(now)
+	if total == 0 {
+		return 1 / float64(c.replicas)
+	}
+	return own / total
+}
+
 // refill sets the rates and capacities of the buckets to the parts of the quota and the ceiling that they
 // hold now, and refills them. It returns the units that overflowed from this gateway's share of the quota.
 // allReplicasActive means that the peers' demand is known, so that a part of the ceiling follows demand.
@@ -85,7 +96,7 @@
 	plan, share := sharing.plan(&c.account), c.quotaShare(now, sharing)
 	ceilingShare := 1 / float64(c.replicas)
 	if plan.CeilingRate > 0 && allReplicasActive {
-		ceilingShare = evenCeilingShare*ceilingShare + (1-evenCeilingShare)*share
+		ceilingShare = evenCeilingShare*ceilingShare + (1-evenCeilingShare)*c.demandShare(now)
 	}
 	switch {
 	case !sharing.sharesUsage:
