Take the ownership back only from a successor that has exited

Cause: a message that could not be written within 2 s counted as the exit of the successor.

Change: after the ownership was transferred, messages are written without a time limit. The link's queues have no limit either, so that the event loop does not wait for a successor that does not read.

The two new tests of the link failed before: it ended after 2 s. The tests of internal/handover and internal/gateway pass.

--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -12,14 +13,16 @@
 )
 
 // Link is the predecessor's connection to its successor. It queues messages, and its goroutine writes them
-// until Close is called: first those of the queue, in order, and while that is empty the connections of bulk.
-// Methods that send block while maxQueuedMessages messages are in a queue. All methods must be called from
-// one goroutine, that of the event loop.
+// until Close is called. Methods that send do not block. They must be called from one goroutine, that of the
+// event loop.
 type Link struct {
 	conn    *net.UnixConn
-	queue   chan outgoingMessage
-	bulk    chan outgoingMessage // clients whose input delays messages behind it
-	written chan struct{}        // closed when the queues are closed and all their messages are written
+	written chan struct{} // closed when the link is closed and all its messages are written
+
+	mu      sync.Mutex        // guards the fields below
+	changed sync.Cond         // signalled when a message is queued or the link is closed
+	queue   []outgoingMessage // in the order in which they are written
+	bulk    []outgoingMessage // written while queue is empty: clients whose input delays messages behind it
 	closed  bool
 }
 
@@ -37,27 +40,27 @@
 
 // newLink returns a link that owns the connection, and starts the goroutine that writes the queued messages.
 func newLink(conn *net.UnixConn) *Link {
-	link := &Link{
-		conn:    conn,
-		queue:   make(chan outgoingMessage, maxQueuedMessages),
-		bulk:    make(chan outgoingMessage, maxQueuedMessages),
-		written: make(chan struct{}),
-	}
+	link := &Link{conn: conn, written: make(chan struct{})}
+	link.changed.L = &link.mu
 	go link.writeQueues()
 	return link
 }
 
-// writeQueues writes messages until the queues are closed. After a failed write the connection is unusable,
-// and the remaining messages are dropped.
+// writeQueues writes messages until the link is closed. After a failed write the connection is unusable, and
+// the remaining messages are dropped.
 func (l *Link) writeQueues() {
 	defer close(l.written)
 	var writeErr error
+	timeout := writeTimeout
 	for m, ok := l.next(); ok; m, ok = l.next() {
 		if writeErr == nil {
-			if writeErr = l.write(m); writeErr != nil {
+			if writeErr = l.write(m, timeout); writeErr != nil {
 				_ = l.conn.Close()
 			}
 		}
+		if m.kind == kindOwnership {
+			timeout = 0 // a successor that does not read may be stopped, and serves when it continues
+		}
 		if m.onSent != nil {
 			m.onSent()
 		}
@@ -65,42 +68,60 @@
 	_ = l.conn.Close()
 }
 
-// next waits for a message. ok is false if the queues are closed and empty.
+// next waits for a message and removes it from its queue. ok is false if the link is closed and has none.
 func (l *Link) next() (m outgoingMessage, ok bool) {
-	select {
-	case m, ok = <-l.queue:
-	default:
-		select {
-		case m, ok = <-l.queue:
-		case m, ok = <-l.bulk:
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.queue)+len(l.bulk) == 0 {
+		if l.closed {
+			return outgoingMessage{}, false
 		}
+		l.changed.Wait()
 	}
-	if !ok { // one queue is closed and empty, and the other one is closed too
-		if m, ok = <-l.queue; !ok {
-			m, ok = <-l.bulk
-		}
+	from := &l.queue
+	if len(l.queue) == 0 {
+		from = &l.bulk
 	}
-	return m, ok
+	m = (*from)[0]
+	(*from)[0] = outgoingMessage{} // releases its memory
+	*from = (*from)[1:]
+	return m, true
 }
 
-// write writes a message, behind the input that belongs to it.
-func (l *Link) write(m outgoingMessage) error {
+// write writes a message, behind the input that belongs to it. Each packet has to be written within the
+// timeout, unless that is zero.
+func (l *Link) write(m outgoingMessage, timeout time.Duration) error {
 	for chunk := range slices.Chunk(m.input, maxBodyBytes) {
-		if err := l.writeInTime(kindInput, chunk, nil); err != nil {
+		if err := l.writePacket(kindInput, chunk, nil, timeout); err != nil {
 			return err
 		}
 	}
-	return l.writeInTime(m.kind, m.body, m.socket)
+	return l.writePacket(m.kind, m.body, m.socket, timeout)
 }
 
-// writeInTime writes one packet within writeTimeout.
-func (l *Link) writeInTime(messageKind kind, body []byte, socket syscall.RawConn) error {
-	_ = l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
+// writePacket writes one packet within a timeout, unless that is zero.
+func (l *Link) writePacket(
+	messageKind kind, body []byte, socket syscall.RawConn, timeout time.Duration,
+) error {
+	deadline := time.Time{}
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
+	}
+	_ = l.conn.SetWriteDeadline(deadline) // fails only on a closed connection
 	return writeMessage(l.conn, messageKind, body, socket)
 }
 
-// send queues a message. It blocks while the queue is full.
-func (l *Link) send(m outgoingMessage) { l.queue <- m }
+// send queues a message.
+func (l *Link) send(m outgoingMessage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(m.input) > maxPromptInput {
+		l.bulk = append(l.bulk, m)
+	} else {
+		l.queue = append(l.queue, m)
+	}
+	l.changed.Signal()
+}
 
 // SendState sends an encoded state, in chunks.
 func (l *Link) SendState(encoded []byte) {
@@ -122,12 +143,7 @@
 	client ClientConnection, input []byte, socket syscall.RawConn, onSent func(),
 ) error {
 	body, err := EncodeClientConnection(client)
-	message := outgoingMessage{kind: kindClient, input: input, body: body, socket: socket, onSent: onSent}
-	if len(input) > maxPromptInput {
-		l.bulk <- message
-	} else {
-		l.send(message)
-	}
+	l.send(outgoingMessage{kind: kindClient, input: input, body: body, socket: socket, onSent: onSent})
 	return err
 }
 
@@ -161,20 +177,22 @@
 }
 
 // IsClosed reports whether Close was called. No message may be sent on a closed link.
-func (l *Link) IsClosed() bool { return l.closed }
+func (l *Link) IsClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
 
 // Close closes the link after all queued messages are written, without waiting for that. Calls after the
 // first have no effect.
 func (l *Link) Close() {
-	if !l.closed {
-		l.closed = true
-		close(l.queue)
-		close(l.bulk)
-	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.changed.Signal()
 }
 
-// CloseAndWait closes the link and waits until all queued messages are written, or one of them could not be
-// written within writeTimeout.
+// CloseAndWait closes the link and waits until all queued messages are written, or writing has failed.
 func (l *Link) CloseAndWait() {
 	l.Close()
 	<-l.written
--- a/internal/handover/conn_test.go
+++ b/internal/handover/conn_test.go
@@ -164,3 +164,39 @@
 		t.Errorf("%d of %d clients were sent before the close returned", n, clients)
 	}
 }
+
+// A successor that was stopped for longer than a write may take was considered dead, and both processes
+// served when it continued.
+func TestStoppedSuccessorReceivesClientsWhenItContinues(t *testing.T) {
+	const clients = 6
+	predecessor, successor := connectedPair(t)
+	link := newLink(predecessor)
+	link.TransferOwnership()
+	for i := range clients {
+		sendClient(t, link, i, 2*maxBodyBytes, nil) // together more than the socket's buffer holds
+	}
+	time.Sleep(writeTimeout + writeTimeout/4) // the successor is stopped
+	receiveClients(t, successor, clients)
+}
+
+// The event loop of the predecessor must not wait for a successor that does not read.
+func TestSendDoesNotBlock(t *testing.T) {
+	const reports = 20_000
+	predecessor, successor := connectedPair(t)
+	link := newLink(predecessor)
+	link.TransferOwnership()
+	for i := range reports {
+		if err := link.SendAttemptSent(AttemptSent{RequestID: uint64(i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	link.Close()
+	buffer := make([]byte, 1+maxBodyBytes)
+	received := 0
+	for _, err := readMessage(successor, buffer); err == nil; _, err = readMessage(successor, buffer) {
+		received++
+	}
+	if received != 1+reports {
+		t.Errorf("%d messages received, want %d", received, 1+reports)
+	}
+}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -31,7 +31,6 @@
 	maxSockets         = 2        // maximum number of sockets that the predecessor sends: listener and gossip
 	maxSocketsRead     = 4        // maximum number of sockets read with a message; the kernel drops others
 	descriptorBytes    = 4        // size of a descriptor in a control message
-	maxQueuedMessages  = 4096     // number of messages waiting to be written at which the sender blocks
 )
 
 const (
