Let a process that has handed over wait for its own predecessor

Cause: with upgrades in quick succession, the second process exited as soon as its own clients were gone, although the first one still answered requests and handed its connections over to it.

Change: a process that has handed over exits only when its own predecessor has exited; its exit time after SIGTERM still bounds that. The soak no longer waits for the exit of a process before the next upgrade.

--- a/cmd/gateway/soak_test.go
+++ b/cmd/gateway/soak_test.go
@@ -138,9 +138,7 @@
 		case 0:
 			second := startSuccessor(s.t, p, s.configure) // sends SIGTERM to the first one
 			s.killAfterDelay(p)
-			first := p
-			p = second
-			<-first.exited // there are never more than two processes
+			p = second // the first one may still run when another one takes over
 		case 1:
 			for range 1 + s.random.IntN(3) {
 				p.reload(s.t)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -132,6 +132,34 @@
 	}
 }
 
+// A third process takes over from the second one while the first one still answers a request. The first one
+// took the ownership back when the second one had exited, although the third one had it.
+func TestProcessWaitsForItsPredecessorAfterHandover(t *testing.T) {
+	cfg, b := replaceableConfigWithBackend(t)
+	first := startGateway(t, cfg)
+	c := first.client(t)
+	call := c.openLookup(b, 1)
+	second := startGateway(t, cfg)
+	waitForReadiness(t, second, 200)
+	first.shutDown()
+	third := startGateway(t, cfg)
+	waitForReadiness(t, third, 200)
+	second.shutDown()
+	second.waitUntil(t, func(g *Gateway) bool { return g.shutdown.hasStarted() })
+	first.waitUntil(t, func(g *Gateway) bool {
+		if !g.handover.hasReleasedOwnership() {
+			t.Error("the first process has taken the ownership back")
+		}
+		return true
+	})
+	call.replyValue(t, "ok")
+	c.wantValue("ok")
+	wait(t, first.ended, "the first process to exit")
+	wait(t, second.ended, "the second process to exit")
+	c.sendOnce(2, "team") // its connection was handed over twice
+	c.wantServed(b, "ok")
+}
+
 func TestPredecessorServesAgainAfterSuccessorExit(t *testing.T) {
 	cfg, b := replaceableConfigWithBackend(t)
 	first := startGateway(t, cfg)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -86,7 +86,8 @@
 	// answerAll answers all open requests.
 	answerAll()
 	// isIdle reports whether nothing is open any more: each client has read its replies and closed its
-	// connection, has had time to do so, or was handed over.
+	// connection, has had time to do so, or was handed over, and no predecessor hands over to a process that
+	// has handed over itself.
 	isIdle() bool
 	// stop stops the event loop.
 	stop()
@@ -223,7 +224,12 @@
 }
 
 func (a shutdownAdapter) isIdle() bool {
-	if len(a.clients.conns) > 0 {
+	switch {
+	case len(a.clients.conns) > 0:
+		return false
+	case a.handover.hasReleasedOwnership() && a.takeover.isPredecessorDraining():
+		// The predecessor still hands over connections. If this process exited, it would take the ownership
+		// back, which the successor has.
 		return false
 	}
 	return a.listening.isClosed() ||
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -248,4 +248,7 @@
 // predecessorExited reports that the predecessor has exited, so that this process has all the resources.
 type predecessorExited struct{}
 
-func (predecessorExited) Handle(g *Gateway) { g.takeover.handlePredecessorExited() }
+func (predecessorExited) Handle(g *Gateway) {
+	g.takeover.handlePredecessorExited()
+	g.shutdown.stopIfIdle()
+}
