Do not crash on an empty key in a list of the settings

Cause: a settings file such as {"request-classes":{"":1}} made the parser read the first byte of an empty key.

Change: the key is ignored like other unknown ones; the missing list is the error.

--- a/internal/settings/parser.go
+++ b/internal/settings/parser.go
@@ -133,7 +133,7 @@
 	}
 	for key := range keys {
 		rest, ok := strings.CutPrefix(key, list+".")
-		if ok && rest[0] >= '0' && rest[0] <= '9' {
+		if ok && rest != "" && rest[0] >= '0' && rest[0] <= '9' {
 			delete(keys, key)
 		}
 	}
