--- a/internal/handover/codec.go
+++ b/internal/handover/codec.go
@@ -27,6 +27,9 @@
 // ErrVersion reports that the other process encoded its state in a version that this process does not know.
 var ErrVersion = errors.New("handover: unknown state version")
 
+// ErrNoDecisions reports that the state of the other process has no part of the policy.
+var ErrNoDecisions = errors.New("handover: state without the policy's part")
+
 // State is the state that the predecessor transfers to the successor.
 type State struct {
 	LastRequestID uint64               // the highest request ID that the predecessor has assigned
@@ -149,7 +152,7 @@
 }
 
 // DecodeState decodes a state that another process has encoded. The error wraps ErrVersion if the encoded
-// state has another version than stateVersion.
+// state has another version than stateVersion, and is ErrNoDecisions if it is incomplete.
 func DecodeState(b []byte) (*State, error) {
 	var form handoverState
 	if err := gob.NewDecoder(bytes.NewReader(b)).Decode(&form); err != nil {
@@ -158,6 +161,9 @@
 	if form.Version != stateVersion {
 		return nil, fmt.Errorf("%w: %d: expected %d", ErrVersion, form.Version, stateVersion)
 	}
+	if form.Module == nil {
+		return nil, ErrNoDecisions
+	}
 	s := &State{LastRequestID: form.NextID, Policy: form.Module}
 	for _, m := range form.Members {
 		s.Endpoints = append(s.Endpoints, discovery.Endpoint{
