--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -13,8 +13,10 @@
 	f.Add(fmt.Appendf(nil, valid, minimalSettings))
 	f.Add(fmt.Appendf(nil, valid, `{"request-classes":{"":1}}`))
 	f.Add(fmt.Appendf(nil, valid, `{"self-index":-1,"balancers":0,"request-classes":[{"name":"c",`+
-		`"promise-us":1,"hard-limit-us":-5,"repeat":"dedup"}],"tariffs":[{"name":"t","rate":-1,"burst":1e308}]}`))
-	f.Add([]byte(`{"limits":{"memory_mb":-1,"sockets":1e9},"peers":[""],"known":{"members":[null]},"settings":null}`))
+		`"promise-us":1,"hard-limit-us":-5,"repeat":"dedup"}],`+
+		`"tariffs":[{"name":"t","rate":-1,"burst":1e308}]}`))
+	f.Add([]byte(`{"limits":{"memory_mb":-1,"sockets":1e9},"peers":[""],"known":{"members":[null]},` +
+		`"settings":null}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		c, err := Parse(raw)
 		if err != nil {
