Give consecutive quota requests different numbers when the number wraps

Cause: the number of a quota request wrapped to 0, was sent as 1, and the next one was 1 again.

Change: 0 is skipped in the count itself.

Result: the new test failed before at the 256th number. It replaces the test that the number is never 0 over 600 numbers: it checks that, and that neighbours differ, over 768.

--- a/policy/quotagrant.go
+++ b/policy/quotagrant.go
@@ -60,8 +60,8 @@
 
 // nextRequestNumber returns the sequence number of the next quota request, which is never 0.
 func (g *quotaGrant) nextRequestNumber() byte {
-	g.lastRequestNumber++
-	return max(1, g.lastRequestNumber)
+	g.lastRequestNumber = max(1, g.lastRequestNumber+1)
+	return g.lastRequestNumber
 }
 
 // setFraction sets a coordinator's fraction to the units that may be spent divided by the demand, both over
--- a/policy/quotagrant_test.go
+++ b/policy/quotagrant_test.go
@@ -97,15 +97,6 @@
 	}
 }
 
-func TestNextRequestNumberIsNeverZero(t *testing.T) {
-	grant := newQuotaGrant()
-	for i := range 600 {
-		if grant.nextRequestNumber() == 0 {
-			t.Fatalf("request %d has the number 0", i)
-		}
-	}
-}
-
 func TestGrantNeedsCorrectionBeyondTolerance(t *testing.T) {
 	grant := quotaGrant{fraction: 0.5}
 	needsCorrection := map[float64]bool{0.5: false, 0.46: false, 0.54: false, 0.44: true, 0.56: true}
@@ -115,3 +106,17 @@
 		}
 	}
 }
+
+// The number of a quota request wraps around. Two requests that wait at the same time must not have the same
+// one, as an answer would decide both.
+func TestQuotaRequestNumbersDifferAcrossWrap(t *testing.T) {
+	grant := newQuotaGrant()
+	last := byte(0)
+	for i := range 3 * 256 {
+		number := grant.nextRequestNumber()
+		if number == 0 || number == last {
+			t.Fatalf("quota request %d has the number %d after %d", i, number, last)
+		}
+		last = number
+	}
+}
