Hand over the shared bucket with what overflows when the state is exported

Cause: the state of a handover took the shared bucket before it refilled the customers, whose overflow goes there: the successor did not get it.

Change: the shared bucket is written after the refill, and the slice is copied.

--- a/policy/sharedbucket_test.go
+++ b/policy/sharedbucket_test.go
@@ -80,3 +80,26 @@
 		t.Errorf("overflow by plan: got %v, want %v", bucket.idleOverflow, want)
 	}
 }
+
+// The state of a handover contains the units that overflow when the customers are refilled for it, and no
+// slice that later changes.
+func TestExportContainsOverflowOfItsRefill(t *testing.T) {
+	h := newHarness(t, testSettings())
+	h.sharedBucket.capacity = 1000
+	if !h.serve(1, 7, 1) {
+		t.Fatal("the request was not sent")
+	}
+	h.sweepCustomers()
+	before := h.sharedBucket.level
+	snapshot := h.Export(h.at + 2*second) // the customer's bucket has been full for most of this time
+	if h.sharedBucket.level <= before {
+		t.Fatal("no units have overflowed")
+	}
+	if got := decodeBucket(snapshot.Lend).level; got != h.sharedBucket.level {
+		t.Errorf("the state has %g units in the shared bucket, want %g", got, h.sharedBucket.level)
+	}
+	h.sharedBucket.idleOverflow[1] += 5
+	if snapshot.IdleSpill[1] == h.sharedBucket.idleOverflow[1] {
+		t.Error("the state changes with the process that has exported it")
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -1,5 +1,7 @@
 package policy
 
+import "slices"
+
 // Export returns the state that a successor needs. It halves the retry budget, because both processes
 // may retry during the handover.
 func (c *Controller) Export(now Time) *Snapshot {
@@ -10,8 +12,8 @@
 		Plans:   convertAll(c.settings.Plans, func(plan Plan) string { return plan.Name }),
 		Born:    c.clock.startedAt, Still: c.clock.stalledTime, Woke: c.clock.resumedAt,
 		Swept: c.customers.sweptAt, Boot: c.gossip.incarnation, Turn: c.gossip.sequence,
-		Lend: encodeBucket(c.sharedBucket.tokenBucket), IdleSpill: c.sharedBucket.idleOverflow,
-		InTime: encodeSum(c.limit.onTime), Peers: encodeSum(c.limit.peers),
+		IdleSpill: slices.Clone(c.sharedBucket.idleOverflow),
+		InTime:    encodeSum(c.limit.onTime), Peers: encodeSum(c.limit.peers),
 		PeersHeld: encodeSum(c.limit.peersInFlight), PeersInTime: encodeSum(c.limit.peersOnTime),
 		Pace: encodeSum(c.pace.answerRate),
 		Mean: encodeAverage(c.latency.all), ColdMean: encodeAverage(c.latency.slowStart),
@@ -31,6 +33,7 @@
 		c.refillBuckets(customer)
 		snapshot.Customers = append(snapshot.Customers, encodeCustomer(customer))
 	}
+	snapshot.Lend = encodeBucket(c.sharedBucket.tokenBucket) // with what has overflowed from the customers
 	snapshot.Backends = convertAll(c.backends.inOrder, encodeBackend)
 	for _, backend := range c.backends.inOrder {
 		snapshot.Stamps = append(snapshot.Stamps, backend.slowStart.stamps.known)
