Let a wide replica set admit requests of a plan without a quota

Change: a plan without a quota requires no grant.

Result: the new test failed before at 11 of 12 gateways, and passes.

--- a/policy/coordinator_test.go
+++ b/policy/coordinator_test.go
@@ -259,3 +259,16 @@
 		})
 	}
 }
+
+// Guards against gateways of a wide set that ask for units of a plan that has no quota, which no coordinator
+// has.
+func TestWideReplicaSetAdmitsPlanWithoutQuota(t *testing.T) {
+	settings := testSettings()
+	settings.Gateways, settings.Plans[0] = 12, Plan{ValueFactor: 1, OverageCost: 1}
+	for settings.Self = range settings.Gateways {
+		h := newHarness(t, settings)
+		if _, sent := h.receiveRequest(Request{Customer: 9, Cost: 1, Timeout: second, Replicas: 12}); !sent {
+			t.Errorf("gateway %d has not sent the request", settings.Self)
+		}
+	}
+}
--- a/policy/quotasharing.go
+++ b/policy/quotasharing.go
@@ -161,10 +161,14 @@
 
 // requiresGrant reports whether a coordinator has to grant each request before it is admitted. This is the
 // case in a wide replica set with a small quota: a gateway's share of it may not hold one request, and the
-// coordinators can receive a quota request for each request.
+// coordinators can receive a quota request for each request. A plan without a quota needs no grant.
 func (s *quotaSharing) requiresGrant(account *account) bool {
-	rate := s.plan(account).Rate / float64(s.coordinatorCount(account))
-	return s.isWide(account) && rate*float64(s.receiveTime(1)) < quotaRequestShare*float64(second)
+	plan := s.plan(account)
+	if plan.Rate == 0 || !s.isWide(account) {
+		return false
+	}
+	rate := plan.Rate / float64(s.coordinatorCount(account))
+	return rate*float64(s.receiveTime(1)) < quotaRequestShare*float64(second)
 }
 
 // grantsQuota reports whether each request requires a grant and this gateway is one of the coordinators that
--- a/policy/quotasharing_test.go
+++ b/policy/quotasharing_test.go
@@ -178,6 +178,7 @@
 		{"small set", Plan{Rate: 1, Burst: 100}, 4, false, false},
 		{"wide set, small quota", Plan{Rate: 1, Burst: 100}, 5, true, true},
 		{"wide set, large quota with few coordinators", Plan{Rate: 400, Burst: 4}, 12, true, false},
+		{"wide set, no quota", Plan{}, 12, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
