Do not take a read of all unread input for a sight of the client

Cause: a trace of the late attempts shows a shut receive window and a client that was last seen 5 to 48 ms before. A read that returned less than was asked for counted as a proof that nothing was held back, and so that the client was connected. But that read is what makes room: the client's system then sends the next part of what it holds back, and its close comes last. With a reader that gets little processor time, that goes on for more than 0.2 s.

Change: such a read only bounds the time of input. A client is seen when the connection is empty, when input arrives after a wait, or when little is unread, the last two not while the window was shut within the last 10 ms.

--- a/internal/gateway/client_presence.go
+++ b/internal/gateway/client_presence.go
@@ -39,8 +39,10 @@
 		c.markDrained(now)
 		return clientPresent
 	case sockstate.Unread:
-		c.lastSeenAt.Store(now)
-		return clientPresent
+		if !c.pending.mayHideClose(now) {
+			c.lastSeenAt.Store(now)
+			return clientPresent
+		}
 	case sockstate.Unknown, sockstate.Full:
 	}
 	if now-c.lastSeenAt.Load() <= maxUnseen {
@@ -103,8 +105,8 @@
 	arrivedAt = c.pending.earliest()
 	result, err := c.socket.Read(b)
 	now := c.clock.Now()
-	if result.WindowShut && now-arrivedAt > arrivalResolution {
-		c.pending.markHeld(arrivedAt)
+	if result.WindowShut {
+		c.pending.markWindowShut(arrivedAt, now)
 	}
 	if result.Waited {
 		arrivedAt = c.pending.earliestAt(c.lastArrival(now))
@@ -112,16 +114,24 @@
 	if result.N > 0 {
 		c.lastInputAt.Store(now)
 	}
+	c.recordRead(result, now, arrivedAt, err)
+	return result.N, arrivedAt, err
+}
+
+// recordRead records what a read tells of the client. A read that returns all unread input does not show that
+// the client is connected: its system may hold back more, and a close behind it, until the read makes room.
+func (c *client) recordRead(result sockstate.ReadResult, now, arrivedAt policy.Time, err error) {
 	switch {
-	case result.Drained:
-		c.pending.releaseHeld(now)
-		c.markDrained(now)
 	case result.Waited && err != nil && sockstate.Receive(c.writer.RawConn()) == sockstate.Empty:
 		c.markDrained(now)
 	case result.Waited && err != nil:
 		c.markDrained(arrivedAt) // the wait was interrupted, and input had arrived
+	case result.Waited && !c.pending.mayHideClose(arrivedAt):
+		c.lastSeenAt.Store(arrivedAt)
+	}
+	if result.Drained {
+		c.pending.recordDrain(now)
 	}
-	return result.N, arrivedAt, err
 }
 
 // markDrained records that no input was unread at a time.
--- a/internal/gateway/client_unread_input_test.go
+++ b/internal/gateway/client_unread_input_test.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +53,29 @@
 	}
 }
 
+// A client has disconnected while its system holds back input. The gateway reads all that has arrived, some
+// times, which does not show that the client is still connected.
+func TestRequestIsNotSentWhileReadsReleaseInputOfDisconnectedClient(t *testing.T) {
+	const room = 6000 // bytes, more than twice what the smallest receive buffer holds
+	w := newWaitingRequestWith(t, notRetryable, disconnectMethods["closes"],
+		func(listener syscall.RawConn) error { return setSmallestBuffer(listener, syscall.SO_RCVBUF) })
+	w.stopReadAhead()
+	w.writeUnread(unreadHeldBack)
+	w.disconnect()
+	advanceClock(t, w.gateway, 100*millisecond)
+	inputBytes := &w.gateway.memory.inputBytes
+	limit := maxQueuedBytes(w.gateway.config) / readAheadDivisor
+	inputBytes.Add(limit - room - inputBytes.Load())
+	readAheadFull := &w.gateway.clients.readAheadFull
+	waitFor(t, "input to be read", func() bool { return inputBytes.Load() > limit-room })
+	counted := readAheadFull.Load()
+	waitFor(t, "the room to be used", func() bool { return readAheadFull.Load() > counted })
+	w.completeDial()
+	if len(w.onlyBackend().idleConns) != 1 {
+		t.Error("the connection is not idle: the request was sent")
+	}
+}
+
 // The next sweep detects that a client has disconnected behind input that the gateway does not read.
 func TestSweepDetectsDisconnectBehindUnreadInput(t *testing.T) {
 	forEachDisconnectMethod(t, notRetryable, func(w *waitingRequest) {
@@ -117,6 +141,16 @@
 	})
 }
 
+// waitFor waits until a condition of another goroutine holds.
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for until := time.Now().Add(testTimeout); !condition(); runtime.Gosched() {
+		if time.Now().After(until) {
+			t.Fatal("timed out waiting for ", what)
+		}
+	}
+}
+
 // writeUnread writes input that the gateway does not read.
 func (w *waitingRequest) writeUnread(unread unreadInput) {
 	w.t.Helper()
--- a/internal/gateway/pending_input.go
+++ b/internal/gateway/pending_input.go
@@ -11,7 +11,7 @@
 // that the client's system has held back.
 const heldInputDelay = 10 * millisecond
 
-// Special values of pendingInput.heldUntil.
+// Special values of pendingInput.heldUntil and pendingInput.shutUntil.
 const (
 	nothingHeld      = math.MinInt64
 	heldUntilDrained = math.MaxInt64 // until the connection is drained
@@ -22,14 +22,15 @@
 type pendingInput struct {
 	mu        sync.Mutex  // guards the fields below
 	sentSince policy.Time // the earliest time at which the client may have sent it
-	heldUntil policy.Time // input that arrives until then may have been held back
+	heldUntil policy.Time // input that arrives until then may have been sent since sentSince
+	shutUntil policy.Time // until then the client's system may hold back input, and a close behind it
 }
 
 // init sets the earliest time at which the client may have sent input.
 func (p *pendingInput) init(sentSince policy.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sentSince, p.heldUntil = sentSince, nothingHeld
+	p.sentSince, p.heldUntil, p.shutUntil = sentSince, nothingHeld, nothingHeld
 }
 
 // earliest returns the earliest time at which the client may have sent the input.
@@ -66,19 +67,37 @@
 	}
 }
 
-// markHeld records that the receive window may have been shut since a time.
-func (p *pendingInput) markHeld(since policy.Time) {
+// mayHideClose reports whether the client may have closed the connection at a time without a trace, because
+// its system holds the close back.
+func (p *pendingInput) mayHideClose(at policy.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sentSince, p.heldUntil = since, heldUntilDrained
+	return at <= p.shutUntil
 }
 
-// releaseHeld records that the reader has drained the connection, so that the client's system sends what it
-// has held back.
-func (p *pendingInput) releaseHeld(now policy.Time) {
+// markWindowShut records that the receive window may have been shut since a time. If that is long ago, input
+// that was sent since then may arrive later.
+func (p *pendingInput) markWindowShut(since, now policy.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.shutUntil = heldUntilDrained
+	if now-since > arrivalResolution {
+		p.sentSince, p.heldUntil = since, heldUntilDrained
+	}
+}
+
+// recordDrain records that the reader has read all input of the kernel, so that the client's system sends
+// what it has held back.
+func (p *pendingInput) recordDrain(now policy.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shutUntil == heldUntilDrained {
+		p.shutUntil = now + heldInputDelay
+	}
 	if p.heldUntil == heldUntilDrained {
 		p.heldUntil = now + heldInputDelay
 	}
+	if now > p.heldUntil {
+		p.sentSince = now
+	}
 }
