--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -14,6 +14,7 @@
 	"memory": memoryCase,
 	"value":  valueCase,
 	"reader": readerCase,
+	"linger": lingerCase,
 }
 
 func main() {
