--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,4 +8,4 @@
   echo "bin/gateway or bin/rig2 is missing: run the build of deploy/balancer.toml and review/build-2.sh" | tee "$here/record.txt"
   exit 2
 fi
-exec bin/rig2 value "$here/record.txt"
+exec bin/rig2 linger "$here/record.txt"
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,6 +15,7 @@
 	"value":  valueCase,
 	"reader": readerCase,
 	"linger": lingerCase,
+	"slots":  slotsCase,
 }
 
 func main() {
