--- a/review/rig2/linger.go
+++ b/review/rig2/linger.go
@@ -12,7 +12,7 @@
 // goes on using its connection. It reads all answers within their deadline.
 func lingerCase(w *world) int {
 	const (
-		count    = 30
+		count    = 20
 		size     = 62 << 10
 		deadline = 4 * time.Second
 		slowFor  = 2500 * time.Millisecond // for which the client reads slowly
@@ -40,6 +40,10 @@
 		if w.trouble {
 			w.log("SIGTERM")
 			_ = syscall.Kill(g.cmd.Process.Pid, syscall.SIGTERM)
+			go func() {
+				<-g.ended
+				w.log("the gateway has exited: %v", g.err)
+			}()
 		}
 		time.Sleep(1400 * time.Millisecond)
 		_, err := io.WriteString(conn, request("track", 1+count, deadline, ""))
