--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -9,13 +9,16 @@
 	"syscall"
 )
 
+// cases has the cases of review/6 to review/10 and, after them, two plays that are no cases.
 var cases = map[string]func(*world) int{
 	"plan":   planCase,
 	"memory": memoryCase,
-	"value":  valueCase,
-	"reader": readerCase,
 	"linger": lingerCase,
 	"slots":  slotsCase,
+	"value":  valueCase,
+
+	"reader":   readerCase,
+	"pipeline": pipelineCase,
 }
 
 func main() {
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -4,38 +4,32 @@
 	"bufio"
 	"io"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// memoryCase has sound clients that send many requests at once and read all answers without a pause. As the
-// platform does, the case kills a gateway whose memory is over its limit.
+// memoryCase connects a crowd that never finishes a request. As the platform does, the case kills a gateway
+// whose memory is over its limit.
 func memoryCase(w *world) int {
 	const (
-		limitMB, sockets = 64, 1024
-		clients          = 30
-		backends         = 20
-		size             = 62 << 10
-		duration         = 30 * time.Second
+		limitMB, sockets = 32, 1024
+		crowd            = 1000
+		duration         = 15 * time.Second
 	)
-	atOnce := 100
-	if !w.trouble {
-		atOnce = 1
-	}
 	w.config["limits"] = map[string]any{"cores": 1.0, "memory_mb": limitMB, "sockets": sockets}
-	value := strings.Repeat("v", size)
-	w.addBackends(backends, func(c *backendCommand) bool {
-		c.answer(value)
+	w.addBackends(4, func(c *backendCommand) bool {
+		time.Sleep(200 * time.Millisecond)
+		c.answer("value of " + c.id)
 		return true
 	})
 	w.serveDiscovery()
 	w.writeConfig()
 	g := w.startGateway("gateway")
-	var peak, sent, served, other, unanswered, ids atomic.Int64
+	go w.sendInTurn(time.Now().Add(duration))
+	var peak, connected atomic.Int64
 	go func() {
-		for ; !g.hasEnded(); time.Sleep(10 * time.Millisecond) {
+		for ; !g.hasEnded(); time.Sleep(20 * time.Millisecond) {
 			used := g.memory()
 			peak.Store(max(peak.Load(), int64(used)))
 			if used > limitMB<<20 {
@@ -45,44 +39,57 @@
 			}
 		}
 	}()
-	end := time.Now().Add(duration)
-	var running sync.WaitGroup
-	for range clients {
-		running.Go(func() {
-			conn := w.mustDial()
-			defer conn.Close()
-			in := bufio.NewReaderSize(conn, 64<<10)
-			for time.Now().Before(end) {
-				var commands strings.Builder
-				for range atOnce {
-					commands.WriteString(request("track", uint64(ids.Add(1)), 4*time.Second, ""))
-				}
-				sent.Add(int64(atOnce))
-				_, _ = io.WriteString(conn, commands.String())
-				for i := range atOnce {
-					answer := readReply(in)
-					if answer.err != nil {
-						unanswered.Add(int64(atOnce - i))
-						return
-					}
-					if answer.kind == '$' {
-						served.Add(1)
-					} else {
-						other.Add(1)
-					}
+	unfinished := request("book", 1, 4*time.Second, strings.Repeat("b", 64<<10))
+	unfinished = unfinished[:len(unfinished)-100]
+	time.Sleep(2 * time.Second)
+	for range crowd {
+		if !w.trouble {
+			break
+		}
+		go func() {
+			for !g.hasEnded() {
+				conn, err := w.dial()
+				if err != nil {
+					time.Sleep(100 * time.Millisecond)
+					continue
 				}
-				time.Sleep(100 * time.Millisecond)
+				connected.Add(1)
+				_, _ = io.WriteString(conn, unfinished)
+				_, _ = io.Copy(io.Discard, conn) // stays until the gateway closes the connection
+				_ = conn.Close()
 			}
-		})
+		}()
 	}
-	running.Wait()
-	w.log("%d clients, %d requests at once: sent %d, served %d, refused or failed %d, not answered %d",
-		clients, atOnce, sent.Load(), served.Load(), other.Load(), unanswered.Load())
+	for end := time.Now().Add(duration); time.Now().Before(end) && !g.hasEnded(); {
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.log("connections of the crowd: %d, each with %d bytes of a request of %d bytes",
+		connected.Load(), len(unfinished), len(unfinished)+100)
 	w.log("peak of the gateway's anonymous memory: %d bytes of %d", peak.Load(), limitMB<<20)
-	w.logGateway("gateway", "msg=clients")
 	if g.hasEnded() {
 		w.log("the gateway's process has ended")
+		time.Sleep(200 * time.Millisecond) // for the record of the sound client
 		return ruleBroken
 	}
 	return ruleHeld
 }
+
+// sendInTurn sends requests of a sound client, one after the other, and records those that are not answered.
+func (w *world) sendInTurn(end time.Time) {
+	conn := w.mustDial()
+	in := bufio.NewReader(conn)
+	served := 0
+	for id := uint64(1000); time.Now().Before(end); id++ {
+		_, _ = io.WriteString(conn, request("track", id, 4*time.Second, ""))
+		answer := readReply(in)
+		if answer.err != nil {
+			w.log("sound client: %d requests served; request %s: %v; begun by backends: %d",
+				served, requestID(id), answer, w.runs(requestID(id)))
+			return
+		}
+		if answer.kind == '$' {
+			served++
+		}
+	}
+	w.log("sound client: %d requests served, all answered", served)
+}
