Hold a large value back while commands behind it on the connection were read

Cause: RESP shows an incomplete value by the end of the connection only. A value was passed on from its first KiB whatever else was open, and the reader went on to read and send commands behind it.

Change: while an incomplete value is open, the reader of its client takes nothing from the kernel (inputGate; sockstate.Gate makes the check and the read one step). A value with commands behind it that were read is buffered, so that a break is a failed attempt, for 1.5 s at most, since a client that gets nothing for 2 s loses the request, and within an eighth of the memory. At the deadline it is passed on instead of an error.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -65,8 +65,8 @@
 	if a.ended {
 		return
 	}
-	if a.request != nil && a.request.valueConn != nil && a.request.valueConn == a.conn {
-		a.request.valueConn = nil // the value was still waiting for the replies to earlier requests
+	if a.request != nil && a.conn != nil {
+		g.dropValue(a.request, a.conn) // it was still waiting for the replies to earlier requests
 	}
 	if a.conn == nil {
 		g.backends.cancelWaiting(a)
@@ -122,12 +122,12 @@
 	}
 	r.attemptsInFlight--
 	r.outcomes = append(r.outcomes, e)
-	if e.result == policy.ResultOK && !r.answered && !r.valueStarted {
+	if e.result == policy.ResultOK && !r.answered && !r.isValueStarted() {
 		g.answer(r, resp.AppendBulk(make([]byte, 0, len(e.value)+bulkOverhead), e.value))
 	}
 	g.reportOutcome(policy.Outcome{
 		RequestID: r.id, Attempt: e.attempt.number, Backend: e.attempt.backend, Result: e.result,
-		Latency: e.latency, ClientAnswered: r.answered || r.valueStarted || r.client.disconnected.Load(),
+		Latency: e.latency, ClientAnswered: r.answered || r.isValueStarted() || r.client.disconnected.Load(),
 		ClientUnseen: e.attempt.clientUnseen, DialUnanswered: e.attempt.dialUnanswered,
 		ActualCost: e.cost, LoadReport: e.loadReport,
 	})
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -35,11 +35,11 @@
 // slow reply would delay all attempts behind it, and cancelling one attempt closes the connection for the
 // others.
 type backendConn struct {
-	conn             *net.TCPConn
-	writer           *sockwriter.Writer
-	bytesRead        atomic.Int64            // counted by the reader goroutine
-	done             chan struct{}           // closed by the event loop when it closes the connection
-	valueDestination chan *sockwriter.Writer // the client's writer, sent to the reader for a large value
+	conn              *net.TCPConn
+	writer            *sockwriter.Writer
+	bytesRead         atomic.Int64          // counted by the reader goroutine
+	done              chan struct{}         // closed by the event loop when it closes the connection
+	valueInstructions chan valueInstruction // sent by the event loop to the reader for a large value
 
 	// Used only by the event loop's goroutine.
 	backend       *backend
--- a/internal/gateway/backend_dial.go
+++ b/internal/gateway/backend_dial.go
@@ -73,7 +73,7 @@
 	b.shortagePauses = 0
 	c := &backendConn{
 		backend: b, conn: e.conn, writer: sockwriter.New(e.conn, nil), done: make(chan struct{}),
-		valueDestination: make(chan *sockwriter.Writer, 1),
+		valueInstructions: make(chan valueInstruction, maxValueInstructions),
 	}
 	if e.address != b.address || e.startedAtMS != b.startedAtMS {
 		bs.close(c, closeNotReady) // the backend has moved or restarted in the meantime
--- a/internal/gateway/backend_read.go
+++ b/internal/gateway/backend_read.go
@@ -69,7 +69,7 @@
 	c := e.conn
 	switch {
 	case c.closed:
-	case e.streamed:
+	case e.streamed || c.hasStartedValue():
 		e.handleStreamedValue(g)
 	case c.attempt == nil || e.err != nil && !e.malformed:
 		e.handleConnEnd(g)
@@ -89,6 +89,9 @@
 	if a == nil {
 		return
 	}
+	if a.request != nil {
+		g.dropValue(a.request, c)
+	}
 	if reused {
 		g.backends.handleBrokenReuse(c, a)
 	}
@@ -121,6 +124,9 @@
 	if e.malformed && reply.value == nil {
 		reply.result = policy.ResultFailed
 	}
+	if a.request != nil {
+		g.dropValue(a.request, c)
+	}
 	c.attempt = nil
 	if reused {
 		g.backends.idleTimeout.recordHealthy(g.events.Now(), a.sentAt-c.idleSince)
--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -24,6 +24,7 @@
 type client struct {
 	conn          *net.TCPConn
 	writer        *sockwriter.Writer
+	events        *eventLoop
 	openedAt      time.Time       // when the connection was accepted by this process or a predecessor
 	clock         eventloop.Clock // the time source of the event loop
 	pipelineSlots chan struct{}   // one per request: acquired by the reader, released by the event loop
@@ -37,6 +38,8 @@
 	pending      pendingInput // input that is not read yet
 	lastSeenAt   atomic.Int64 // when the client was last known to be connected; see client_presence.go
 	readerWaits  atomic.Int32 // set by the reader: a readerWait
+	reportsWait  atomic.Bool  // set by the event loop: the reader posts clientReaderWaits when it waits
+	gate         inputGate    // closed while an incomplete large value is open
 	answersDueAt atomic.Int64 // set by the reader: when its client last waits for an answer
 	handingOver  atomic.Bool  // set by the event loop: the reader stops before the next command
 
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -26,11 +26,12 @@
 	cs.counts.longestAccept = max(cs.counts.longestAccept, time.Since(e.openedAt).Microseconds())
 	c := &client{
 		conn: e.conn, writer: sockwriter.New(e.conn, &g.memory.unwrittenBytes),
-		socket: newSocketReader(e.conn), openedAt: e.openedAt, clock: g.clock,
+		events: g.events, openedAt: e.openedAt, clock: g.clock,
 		pipelineSlots: make(chan struct{}, maxPipelined), done: make(chan struct{}),
 		queuedBytes: &g.memory.inputBytes, lastCommandAt: now,
 		commandCount: e.commandCount,
 	}
+	c.initReader()
 	since := e.unprocessedSince(c.writer.RawConn(), now)
 	c.lastSeenAt.Store(since)
 	c.pending.init(since)
--- a/internal/gateway/client_presence.go
+++ b/internal/gateway/client_presence.go
@@ -1,7 +1,8 @@
 package gateway
 
 import (
-	"net"
+	"errors"
+	"io"
 	"syscall"
 	"time"
 
@@ -104,6 +105,9 @@
 func (c *client) readSocket(b []byte) (n int, arrivedAt policy.Time, err error) {
 	arrivedAt = c.pending.earliest()
 	result, err := c.socket.Read(b)
+	if errors.Is(err, sockstate.ErrGateClosed) && sockstate.Receive(c.writer.RawConn()) == sockstate.Closed {
+		err = io.EOF // what is unread needs no answer
+	}
 	now := c.clock.Now()
 	if result.WindowShut {
 		c.pending.markWindowShut(arrivedAt, now)
@@ -147,8 +151,8 @@
 	return now - since.Microseconds()
 }
 
-// newSocketReader returns the reader of a connection.
-func newSocketReader(conn *net.TCPConn) *sockstate.Reader {
-	raw, _ := conn.SyscallConn() // fails only if the connection is closed, and the Reader then reports that
-	return sockstate.NewReader(raw)
+// initReader sets what the reader goroutine reads with.
+func (c *client) initReader() {
+	c.gate.readerWaits = &c.readerWaits
+	c.socket = sockstate.NewReader(c.writer.RawConn(), &c.gate)
 }
--- a/internal/gateway/client_read.go
+++ b/internal/gateway/client_read.go
@@ -227,11 +227,14 @@
 		wait = waitsForRest
 	}
 	c.readerWaits.Store(int32(wait))
-	n, arrivedAt, err := c.readSocket(b)
+	if c.reportsWait.Load() {
+		c.events.Post(clientReaderWaits{client: c})
+	}
+	n, arrivedAt, err := c.readGated(b)
 	interrupted := n == 0 && c.midCommand && c.handingOver.Load() && errors.Is(err, os.ErrDeadlineExceeded)
 	if interrupted && time.Now().Before(c.commandDeadline) {
 		c.setReadDeadline(c.commandDeadline)
-		n, arrivedAt, err = c.readSocket(b)
+		n, arrivedAt, err = c.readGated(b)
 	}
 	if n > 0 {
 		c.inputArrivedAt = arrivedAt
--- a/internal/gateway/client_read_ahead.go
+++ b/internal/gateway/client_read_ahead.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"sparspread/internal/sockstate"
 )
 
 const (
@@ -12,7 +14,8 @@
 	// input that is not read ahead.
 	readAheadDivisor = 2
 
-	// If there is no memory to read ahead, the reader tries again after readAheadPause.
+	// If there is no memory to read ahead or the input gate is closed, the reader tries again after
+	// readAheadPause.
 	readAheadPause = 20 * time.Millisecond
 )
 
@@ -32,19 +35,28 @@
 	c.setReadDeadline(time.Time{})
 }
 
-// readAhead buffers input for the reader until the reader's wait is over or the connection ends. While there
-// is no memory for it, it reads nothing; the end of the connection is then detected by client.presence.
+// readAhead buffers input for the reader until the reader's wait is over or the connection ends. While
+// there is no memory for it, or the input gate is closed, it reads nothing; the end of the connection is
+// then detected by client.presence.
 func (c *client) readAhead(g *Gateway, waitOver <-chan struct{}) {
 	for c.readAheadUntilFull(g, waitOver) {
 		g.clients.readAheadFull.Add(1)
-		select {
-		case <-waitOver:
+		if !pauseReadAhead(waitOver) {
 			return
-		case <-time.After(readAheadPause):
 		}
 	}
 }
 
+// pauseReadAhead waits until reading ahead may be tried again. It returns false if the reader's wait is over.
+func pauseReadAhead(waitOver <-chan struct{}) bool {
+	select {
+	case <-waitOver:
+		return false
+	case <-time.After(readAheadPause):
+		return true
+	}
+}
+
 // readAheadUntilFull buffers input until the reader's wait is over or the connection ends. It stops earlier,
 // and returns true, if there is no memory for more.
 func (c *client) readAheadUntilFull(g *Gateway, waitOver <-chan struct{}) (full bool) {
@@ -65,6 +77,10 @@
 			if isClosed(waitOver) {
 				return false
 			}
+		case errors.Is(err, sockstate.ErrGateClosed):
+			if !pauseReadAhead(waitOver) {
+				return false
+			}
 		case errors.Is(err, net.ErrClosed):
 			return false // closed by this gateway
 		case err != nil:
--- a/internal/gateway/client_read_ahead_test.go
+++ b/internal/gateway/client_read_ahead_test.go
@@ -79,9 +79,9 @@
 	near := eventAs[clientConnected](t, wait(t, g.events.Queue(), "the connection")).conn
 	t.Cleanup(func() { _ = near.Close() })
 	go func() { _, _ = far.conn.Write(make([]byte, size)) }()
-	return &client{
-		conn: near, writer: sockwriter.New(near, nil), clock: g.clock, socket: newSocketReader(near),
-	}
+	c := &client{conn: near, writer: sockwriter.New(near, nil), clock: g.clock}
+	c.initReader()
+	return c
 }
 
 // capacity returns the number of bytes that the buffer occupies.
--- a/internal/gateway/client_reply.go
+++ b/internal/gateway/client_reply.go
@@ -18,8 +18,8 @@
 	if len(c.pipeline) == 0 {
 		c.closeIfAnswered(g)
 		c.handOver(g)
-	} else if next := c.pipeline[0]; next.valueConn != nil {
-		g.startValueTransfer(next)
+	} else if next := c.pipeline[0]; next.value != nil {
+		g.startOrHoldValue(next)
 	}
 }
 
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -72,6 +72,8 @@
 // the client's reader goroutine, so a slow backend delays only this client. It reports the result to the
 // event loop, and returns whether the next command can be read.
 func (c *client) forwardBody(g *Gateway, in *resp.Reader, b *body, conn *backendConn) bool {
+	c.gate.passing.Store(true)
+	defer c.gate.passing.Store(false)
 	w := bodyWriter{client: c, gateway: g, body: b, conn: conn}
 	err := c.copyBodyChunks(in, &w)
 	if c.disconnected.Load() {
@@ -201,6 +203,7 @@
 	}
 	c := r.body.conn
 	if a := c.attempt; a != nil && a.request == r && a.isBodyIncomplete() {
+		g.dropValue(r, c)
 		g.backends.endAttempt(a, policy.ResultNotSent)
 		c.attempt = nil
 		g.backends.close(c, closeIncomplete)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -35,17 +35,17 @@
 	waitingAttempt   *attempt       // waits for a connection; nil if none does
 	outcomes         []attemptEnded // outcomes of its ended attempts
 
-	answered     bool
-	reply        []byte       // nil after it is written
-	valueConn    *backendConn // has received a large value as the reply; nil if there is none
-	valueStarted bool         // the transfer of the large value to the client has started
-	body         *body        // nil if the request has no large body
+	answered bool
+	reply    []byte      // nil after it is written
+	value    *largeValue // the large value that has begun to arrive as the reply; nil if there is none
+	body     *body       // nil if the request has no large body
 }
 
 // answer gives a request its final reply. It has no effect if the request is already answered or the
-// transfer of a large value to the client has started.
+// transfer of a large value to the client has started. An error does not replace a large value that is held
+// back: its transfer starts instead.
 func (g *Gateway) answer(r *request, reply []byte) {
-	if r.answered || r.valueStarted {
+	if r.answered || r.isValueStarted() || reply[0] == '-' && g.startHeldValue(r) {
 		return
 	}
 	g.cancelValueTransfer(r)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -37,6 +37,7 @@
 
 	requests requestTable
 	memory   memoryUse
+	values   valueMemory // of large values that are held back
 	clients  *clients
 	backends *backends
 
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -1,20 +1,53 @@
 package gateway
 
 import (
+	"errors"
+	"io"
+	"os"
+	"sync"
 	"time"
 
 	"sparspread/internal/command"
 	"sparspread/internal/resp"
 	"sparspread/internal/sockwriter"
-	"sparspread/policy"
 )
 
+// This file forwards large values: the reader of the backend's connection writes them to the client, a
+// buffer at a time. value_hold.go decides when.
+
 const (
 	minValuePrefix       = 1 << 10         // number of bytes of a value after which the loop is notified
-	transferBufferSize   = 16 << 10        // size of the buffer for a large value or body in bytes
+	transferBufferSize   = 16 << 10        // size of a buffer for a part of a large value or body in bytes
 	transferStallTimeout = 5 * time.Second // maximum time without progress of the sender or the receiver
 )
 
+// valueInstruction tells the reader of a backend's connection what to do with a large value.
+type valueInstruction struct {
+	destination *sockwriter.Writer // the client's writer; nil to read the value into memory first
+}
+
+// maxValueInstructions is the maximum number of instructions for one value: to buffer it, and to forward it.
+const maxValueInstructions = 2
+
+// valueChunk holds a part of a large value.
+type valueChunk struct {
+	data [transferBufferSize]byte
+	size int // number of bytes in use
+}
+
+// valueChunks are chunks for reuse, because garbage of the size of several values would take the process
+// over its memory limit.
+var valueChunks = sync.Pool{New: func() any { return &valueChunk{} }}
+
+// incomingValue is a large value that the reader of a backend's connection reads. It is used only by that
+// goroutine.
+type incomingValue struct {
+	conn     *backendConn
+	size     int
+	rest     *resp.StreamedValue
+	received []*valueChunk // the part that is not forwarded yet
+}
+
 // streamValue notifies the event loop of a large value, waits until the loop has assigned the writer of a
 // client to it, and forwards the value to that client, a buffer at a time. It runs in the reader goroutine of
 // the backend connection, so a slow client delays only this connection. It records the result in e, and
@@ -23,27 +56,25 @@
 func (c *backendConn) streamValue(
 	events *eventLoop, in *resp.Reader, e *replyReceived,
 ) bool {
-	size := e.reply.StreamedSize
-	buf := make([]byte, transferBufferSize)
-	buffered := 0
-	for buffered < minValuePrefix {
-		n, err := in.ReadValueBytes(buf[buffered:min(size, transferBufferSize)])
-		buffered += n
-		if err != nil {
-			e.reply, e.err = resp.Reply{}, err // the value cannot be read, so the attempt got no reply
-			return true
-		}
+	v := &incomingValue{conn: c, size: e.reply.StreamedSize, rest: in.NewStreamedValue(e.reply.StreamedSize)}
+	defer v.release()
+	if err := v.readPrefix(); err != nil {
+		e.reply, e.err = resp.Reply{}, err // the value cannot be read, so the attempt got no reply
+		return true
 	}
+	c.readTimeout = 0
 	c.setReadDeadline(time.Time{})
-	events.Post(valueArrived{conn: c})
-	var destination *sockwriter.Writer
-	select {
-	case destination = <-c.valueDestination:
-	case <-c.done:
+	events.Post(valueArrived{conn: c, size: v.size})
+	destination, err := v.awaitDestination(events)
+	switch {
+	case errors.Is(err, errValueCancelled):
 		return false
+	case err != nil:
+		e.reply, e.err = resp.Reply{}, err
+		return true
 	}
 	e.streamed = true
-	e.err = c.forwardValue(in, destination, size, buf, buffered)
+	e.err = v.forward(destination)
 	if e.err == nil {
 		// The client has the complete value: malformed input after it only makes this connection unusable.
 		c.readTimeout = replyTimeout
@@ -54,102 +85,139 @@
 	return true
 }
 
-// forwardValue writes a value of size bytes to a client as a bulk string. The first buffered bytes of the
-// value are in buf; the others are read from the backend. Errors of either connection are returned.
-func (c *backendConn) forwardValue(
-	in *resp.Reader, destination *sockwriter.Writer, size int, buf []byte, buffered int,
-) error {
-	c.readTimeout = transferStallTimeout
-	head := resp.AppendBulkHead(nil, size)
-	if err := destination.WriteBlocking(append(head, buf[:buffered]...), transferStallTimeout); err != nil {
-		return err
-	}
-	for remaining := size - buffered; remaining > 0; {
-		n, err := in.ReadValueBytes(buf[:min(remaining, transferBufferSize)])
-		remaining -= n
-		if n > 0 {
-			writeErr := destination.WriteBlocking(buf[:n], transferStallTimeout)
-			if err == nil {
-				err = writeErr
-			}
-		}
-		if err != nil {
+// errValueCancelled reports that the connection was closed before the value was forwarded.
+var errValueCancelled = errors.New("value is not needed")
+
+// readPrefix reads the first bytes of the value.
+func (v *incomingValue) readPrefix() error {
+	for v.size-v.rest.Remaining() < minValuePrefix {
+		if err := v.readChunk(); err != nil {
 			return err
 		}
 	}
-	if err := in.ReadValueEnd(); err != nil {
-		return err
-	}
-	return destination.WriteBlocking(crlf, transferStallTimeout)
+	return nil
 }
 
-// valueArrived reports that the first bytes of a large value have arrived on a connection.
-type valueArrived struct{ conn *backendConn }
+// readChunk reads a part of the value and appends it to received. After the line end it returns io.EOF.
+func (v *incomingValue) readChunk() error {
+	last := len(v.received) - 1
+	if last < 0 || v.received[last].size == transferBufferSize {
+		chunk, ok := valueChunks.Get().(*valueChunk)
+		if !ok {
+			panic("valueChunks has another type")
+		}
+		chunk.size = 0
+		v.received = append(v.received, chunk)
+		last++
+	}
+	chunk := v.received[last]
+	n, err := v.rest.Read(chunk.data[chunk.size:])
+	chunk.size += n
+	return err
+}
 
-func (e valueArrived) Handle(g *Gateway) {
-	c, a := e.conn, e.conn.attempt
-	if c.closed {
-		return
+// release makes the memory of the received part available.
+func (v *incomingValue) release() {
+	for _, chunk := range v.received {
+		valueChunks.Put(chunk)
 	}
-	if a == nil || a.request == nil || a.request.answered || a.request.valueConn != nil {
-		// The value is no longer needed.
-		g.backends.close(c, closeCancelled)
-		c.attempt = nil
-		if a != nil {
-			g.backends.endAttempt(a, policy.ResultCancelled)
-		}
-		return
+	v.received = nil
+}
+
+// awaitDestination waits for the writer of the client. If the event loop wants it, the value is buffered
+// meanwhile, as far as it arrives. An error means that the value cannot be read, or is not needed.
+func (v *incomingValue) awaitDestination(events *eventLoop) (*sockwriter.Writer, error) {
+	instruction, err := v.nextInstruction()
+	if err != nil || instruction.destination != nil {
+		return instruction.destination, err
 	}
-	a.request.valueConn = c
-	if a.request.client.pipeline[0] == a.request {
-		g.startValueTransfer(a.request)
+	switch err := v.buffer(); {
+	case err == nil:
+		events.Post(valueBuffered{conn: v.conn})
+	case !errors.Is(err, os.ErrDeadlineExceeded): // otherwise forwardValue has interrupted the read
+		return nil, err
 	}
+	instruction, err = v.nextInstruction()
+	v.conn.setReadDeadline(time.Time{})
+	return instruction.destination, err
 }
 
-// startValueTransfer starts forwarding a large value to the client. All earlier requests of the client must
-// be answered. The value is the final reply: no further attempt is made, and neither the deadline nor a
-// shutdown ends the transfer.
-func (g *Gateway) startValueTransfer(r *request) {
-	if r.valueStarted {
-		return
+// nextInstruction waits for an instruction of the event loop.
+func (v *incomingValue) nextInstruction() (valueInstruction, error) {
+	select {
+	case instruction := <-v.conn.valueInstructions:
+		return instruction, nil
+	case <-v.conn.done:
+		return valueInstruction{}, errValueCancelled
 	}
-	c, a := r.valueConn, r.valueConn.attempt
-	r.valueStarted = true
-	g.events.Cancel(r.deadlineTimer)
-	g.events.Cancel(a.timeout)
-	r.deadlineTimer, a.timeout = nil, nil
-	c.valueDestination <- r.client.writer
-	g.events.Defer(valueTransferStarted{attempt: a, latency: g.events.Now() - a.sentAt})
 }
 
-// valueTransferStarted reports the success of an attempt to the policy at the start of the transfer,
-// because the time in which the client reads the value says nothing about the backend.
-type valueTransferStarted struct {
-	attempt *attempt
-	latency policy.Time
+// buffer reads the value and the line end after it into memory. It can be interrupted by a read deadline.
+func (v *incomingValue) buffer() error {
+	for {
+		err := v.readChunk()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
 }
 
-func (e valueTransferStarted) Handle(g *Gateway) {
-	a := e.attempt
-	g.reportOutcome(policy.Outcome{
-		RequestID: a.request.id, Attempt: a.number, Backend: a.backend, Result: policy.ResultOK,
-		Latency: e.latency, ClientAnswered: true,
-	})
+// forward writes the value to a client as a bulk string. Errors of either connection are returned.
+func (v *incomingValue) forward(destination *sockwriter.Writer) error {
+	v.conn.readTimeout = transferStallTimeout
+	head := resp.AppendBulkHead(nil, v.size)
+	if err := destination.WriteBlocking(head, transferStallTimeout); err != nil {
+		return err
+	}
+	if err := v.forwardReceived(destination); err != nil {
+		return err
+	}
+	for {
+		err := v.readChunk()
+		writeErr := v.forwardReceived(destination)
+		switch {
+		case errors.Is(err, io.EOF):
+			return destination.WriteBlocking(crlf, transferStallTimeout)
+		case err != nil:
+			return err
+		case writeErr != nil:
+			return writeErr
+		}
+	}
 }
 
-// cancelValueTransfer cancels the attempt with the large value for a request, unless the transfer has
-// started. It is called when the request has another reply or its client has disconnected.
-func (g *Gateway) cancelValueTransfer(r *request) {
-	c := r.valueConn
-	if c == nil || r.valueStarted {
-		return
+// forwardReceived writes the received part to a client.
+func (v *incomingValue) forwardReceived(destination *sockwriter.Writer) error {
+	for len(v.received) > 0 {
+		chunk := v.received[0]
+		v.received = v.received[1:]
+		err := destination.WriteBlocking(chunk.data[:chunk.size], transferStallTimeout)
+		valueChunks.Put(chunk)
+		if err != nil {
+			return err
+		}
 	}
-	r.valueConn = nil
-	if a := c.attempt; a != nil {
-		c.attempt = nil
-		g.backends.endAttempt(a, policy.ResultCancelled)
+	return nil
+}
+
+// forwardValue makes the reader of the connection forward its large value to a client. If the reader
+// buffers the value, its read is interrupted, before it gets the instruction: so it resets the deadline
+// only afterwards.
+func (c *backendConn) forwardValue(destination *sockwriter.Writer, isBuffering bool) {
+	if isBuffering {
+		c.setReadDeadline(time.Unix(1, 0))
 	}
-	g.backends.close(c, closeCancelled)
+	c.valueInstructions <- valueInstruction{destination: destination}
+}
+
+// hasStartedValue reports whether the connection carries an attempt whose large value is the final reply of
+// its request.
+func (c *backendConn) hasStartedValue() bool {
+	return c.attempt != nil && c.attempt.request != nil && c.attempt.request.value != nil &&
+		c.attempt.request.value.conn == c && c.attempt.request.value.started
 }
 
 // handleStreamedValue ends the attempt whose large value was forwarded to the client or, if err is set,
@@ -160,6 +228,7 @@
 	c.attempt, a.ended, a.conn = nil, true, nil
 	c.bytesConsumed = e.bytesConsumed
 	r.attemptsInFlight--
+	g.releaseValueMemory(r)
 	if !r.answered {
 		g.finishValueRequest(r, e.err)
 	}
@@ -186,13 +255,15 @@
 // connection to the client is closed, so that the client detects the error.
 func (g *Gateway) finishValueRequest(r *request, err error) {
 	if err != nil {
-		g.log.Info("value incomplete", "id", string(r.args[command.RequestIDArg]), "error", err)
+		g.log.Info("value incomplete", "id", string(r.args[command.RequestIDArg]), "error", err,
+			"behind", len(r.client.pipeline)-1)
 		r.metrics.Failed.Add(1)
 		r.client.close(g, clientValueIncomplete)
 		return
 	}
 	r.metrics.Served.Add(1)
 	g.markAnswered(r)
+	r.client.updateGate()
 	r.client.lastCommandAt = g.events.Now()
 	r.client.flushReplies(g)
 }
--- a/internal/resp/reader.go
+++ b/internal/resp/reader.go
@@ -50,6 +50,44 @@
 // ReadValueEnd reads the line end after a streamed value.
 func (r *Reader) ReadValueEnd() error { return unexpectedEOF(r.readLineEnd()) }
 
+// StreamedValue reads a streamed value and the line end after it. A read that was interrupted by a deadline
+// can be continued. It is not safe for concurrent use.
+type StreamedValue struct {
+	in        *Reader
+	remaining int     // number of bytes of the value that were not read yet
+	lineEnd   [2]byte // the line end after the value
+	endBytes  int     // number of bytes of the line end that were read
+}
+
+// NewStreamedValue returns the next size bytes as a value with a line end after it.
+func (r *Reader) NewStreamedValue(size int) *StreamedValue {
+	return &StreamedValue{in: r, remaining: size}
+}
+
+// Remaining returns the number of bytes of the value that were not read yet, without the line end.
+func (v *StreamedValue) Remaining() int { return v.remaining }
+
+// Read implements io.Reader. After the last byte of the value it reads the line end, and returns io.EOF.
+func (v *StreamedValue) Read(b []byte) (int, error) {
+	if v.remaining > 0 {
+		n, err := v.in.ReadValueBytes(b[:min(len(b), v.remaining)])
+		v.remaining -= n
+		return n, err
+	}
+	for v.endBytes < len(v.lineEnd) {
+		c, err := v.in.in.ReadByte()
+		if err != nil {
+			return 0, unexpectedEOF(err)
+		}
+		v.lineEnd[v.endBytes] = c
+		v.endBytes++
+	}
+	if err := checkLineEnd(v.lineEnd); err != nil {
+		return 0, err
+	}
+	return 0, io.EOF
+}
+
 // readLine reads a line and returns it without its CRLF. The slice is valid until the next read.
 func (r *Reader) readLine() ([]byte, error) {
 	b, err := r.in.ReadSlice('\n')
@@ -74,6 +112,11 @@
 		}
 		end[i] = c
 	}
+	return checkLineEnd(end)
+}
+
+// checkLineEnd returns an error if the bytes after a value are no line end.
+func checkLineEnd(end [2]byte) error {
 	if end != [2]byte{'\r', '\n'} {
 		return protocolError("value does not end in CRLF")
 	}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"reflect"
 	"runtime"
 	"strings"
@@ -84,6 +85,45 @@
 	}
 }
 
+// interruptedReader returns one byte at a time, and an error before each.
+type interruptedReader struct {
+	text        string
+	interrupted bool // the error before the next byte was returned
+}
+
+func (r *interruptedReader) Read(b []byte) (int, error) {
+	r.interrupted = !r.interrupted
+	switch {
+	case r.interrupted:
+		return 0, os.ErrDeadlineExceeded
+	case r.text == "":
+		return 0, io.EOF
+	}
+	b[0], r.text = r.text[0], r.text[1:]
+	return 1, nil
+}
+
+// A value can be read on after any interruption, and is complete with its line end only.
+func TestStreamedValueContinuesAfterInterruptions(t *testing.T) {
+	for input, wantErr := range map[string]error{
+		"value\r\n": io.EOF, "value\rx": ErrProtocol,
+		"value": io.ErrUnexpectedEOF, "val": io.ErrUnexpectedEOF,
+	} {
+		v := NewReader(&interruptedReader{text: input}).NewStreamedValue(len("value"))
+		var got []byte
+		err := os.ErrDeadlineExceeded
+		for errors.Is(err, os.ErrDeadlineExceeded) || err == nil {
+			var n int
+			b := make([]byte, 2)
+			n, err = v.Read(b)
+			got = append(got, b[:n]...)
+		}
+		if want := strings.TrimRight(input, "\r\nx"); string(got) != want || !errors.Is(err, wantErr) {
+			t.Errorf("%q: got %q, error %v; want %q, error %v", input, got, err, want, wantErr)
+		}
+	}
+}
+
 // Guards against allocating the announced size of a value before it is received: many peers that announce
 // large values but send little could exhaust the memory.
 func TestReadCommandAllocatesOnlyForReceivedBytes(t *testing.T) {
--- a/internal/sockstate/reader.go
+++ b/internal/sockstate/reader.go
@@ -10,9 +10,21 @@
 	"golang.org/x/sys/unix"
 )
 
+// ErrGateClosed reports that a Gate did not let a Reader read.
+var ErrGateClosed = errors.New("sockstate: the gate is closed")
+
+// Gate decides whether a Reader may take input from the kernel.
+type Gate interface {
+	// Enter reports whether the Reader may read now. If so, Leave follows.
+	Enter() bool
+	// Leave reports the end of a read, which has not waited, and its number of bytes.
+	Leave(n int)
+}
+
 // Reader reads from a connection. It is not safe for concurrent use.
 type Reader struct {
 	conn syscall.RawConn // nil if the connection was already closed when the Reader was created
+	gate Gate            // nil if there is none
 	read func(socket uintptr) (done bool)
 
 	// Parameter and results of read.
@@ -23,9 +35,9 @@
 	shut   bool // the receive window may have been shut at the first attempt
 }
 
-// NewReader returns a Reader for a connection. A nil connection is closed.
-func NewReader(conn syscall.RawConn) *Reader {
-	r := &Reader{conn: conn}
+// NewReader returns a Reader for a connection. A nil connection is closed. A nil gate is always open.
+func NewReader(conn syscall.RawConn, gate Gate) *Reader {
+	r := &Reader{conn: conn, gate: gate}
 	r.read = r.readOnce
 	return r
 }
@@ -41,7 +53,7 @@
 }
 
 // Read reads like net.Conn. If the peer had closed the connection when it was drained, the next Read returns
-// the end of the connection.
+// the end of the connection. If there is input and the gate is closed, Read returns ErrGateClosed.
 func (r *Reader) Read(b []byte) (ReadResult, error) {
 	if r.conn == nil {
 		return ReadResult{}, net.ErrClosed
@@ -53,6 +65,8 @@
 	switch {
 	case err != nil:
 		return failed, err
+	case errors.Is(r.err, ErrGateClosed):
+		return failed, ErrGateClosed
 	case r.err != nil:
 		return failed, os.NewSyscallError("read", r.err)
 	case r.n == 0 && len(b) > 0:
@@ -68,15 +82,27 @@
 	if !r.waited {
 		r.shut = !isWindowOpen(int(socket))
 	}
+	if r.gate != nil && !r.gate.Enter() {
+		r.n, r.err = 0, ErrGateClosed
+		return true
+	}
+	r.n, r.err = readWithoutWaiting(int(socket), r.buffer)
+	if r.gate != nil {
+		r.gate.Leave(max(r.n, 0))
+	}
+	if errors.Is(r.err, unix.EAGAIN) {
+		r.waited = true
+		return false
+	}
+	return true
+}
+
+// readWithoutWaiting reads from a socket that does not block, also after interruptions by signals.
+func readWithoutWaiting(socket int, b []byte) (int, error) {
 	for {
-		r.n, r.err = unix.Read(int(socket), r.buffer)
-		switch {
-		case errors.Is(r.err, unix.EINTR):
-			continue
-		case errors.Is(r.err, unix.EAGAIN):
-			r.waited = true
-			return false
+		n, err := unix.Read(socket, b)
+		if !errors.Is(err, unix.EINTR) {
+			return n, err
 		}
-		return true
 	}
 }
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -154,7 +154,7 @@
 
 func TestReaderReportsWhetherInputIsLeft(t *testing.T) {
 	near, far := connect(t)
-	r := NewReader(rawConn(t, near))
+	r := NewReader(rawConn(t, near), nil)
 	if _, err := far.Write([]byte("abcdef")); err != nil {
 		t.Fatal(err)
 	}
@@ -173,7 +173,7 @@
 
 func TestReaderReportsThatItHasWaited(t *testing.T) {
 	near, far := connect(t)
-	r := NewReader(rawConn(t, near))
+	r := NewReader(rawConn(t, near), nil)
 	if err := near.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
 		t.Fatal(err)
 	}
@@ -192,11 +192,40 @@
 	if _, err := r.Read(b); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("got error %v after the close, want %v", err, net.ErrClosed)
 	}
-	if _, err := NewReader(nil).Read(b); !errors.Is(err, net.ErrClosed) {
+	if _, err := NewReader(nil, nil).Read(b); !errors.Is(err, net.ErrClosed) {
 		t.Errorf("got error %v without a connection, want %v", err, net.ErrClosed)
 	}
 }
 
+// testGate is a Gate that the test opens.
+type testGate struct {
+	open bool
+	read int // number of bytes
+}
+
+func (g *testGate) Enter() bool { return g.open }
+func (g *testGate) Leave(n int) { g.read += n }
+
+// A Reader takes nothing from the kernel while its gate is closed.
+func TestReaderObeysGate(t *testing.T) {
+	near, far := connect(t)
+	gate := &testGate{}
+	r := NewReader(rawConn(t, near), gate)
+	if _, err := far.Write([]byte("abc")); err != nil {
+		t.Fatal(err)
+	}
+	wantState(t, rawConn(t, near), Unread)
+	b := make([]byte, 4)
+	if got, err := r.Read(b); got.N != 0 || !errors.Is(err, ErrGateClosed) {
+		t.Errorf("got %+v, error %v; want %v", got, err, ErrGateClosed)
+	}
+	wantState(t, rawConn(t, near), Unread)
+	gate.open = true
+	if got, err := r.Read(b); got.N != 3 || gate.read != 3 || err != nil {
+		t.Errorf("got %+v, error %v, and %d bytes at the gate; want 3", got, err, gate.read)
+	}
+}
+
 // However a peer writes and this side reads: while the peer's system holds back bytes, the state is Full.
 func TestPeerThatHoldsBackBytesIsReportedAsFull(t *testing.T) {
 	for seed := range uint64(20) {
@@ -275,7 +304,7 @@
 func TestInterruptedWaitIsNotReportedAsDrained(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the reader does not run between the two calls below
 	near, far := connect(t)
-	r := NewReader(rawConn(t, near))
+	r := NewReader(rawConn(t, near), nil)
 	type read struct {
 		result ReadResult
 		err    error
