Close a client's connection only when the kernel has delivered its answers

Cause: answers counted as written once this machine's kernel had accepted them. It holds megabytes for a slow client. Closing the connection then lets the next byte of the client reset it, and what has not arrived is dropped. Each reason to close had a condition of its own, and none asked the kernel.

Change: sockstate.Send asks for the bytes that the client's system has not acknowledged. While there are some, a connection is not idle, is not evicted within its client's timeouts, and stays open after its sending side is closed. A connection with a broken value ends in the same way, so that the answers before the value arrive; commands behind it stay unread.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -49,11 +49,13 @@
 	closeWhenAnswered     bool       // close when all commands that have arrived are answered
 	closeAfterNextCommand bool       // set closeWhenAnswered with the next command
 	writeClosed           bool       // the sending side is closed; no further command is accepted
+	abandoned             bool       // its requests are cancelled, and further commands stay unread
 	overLimit             bool       // too many connections are open: its request is rejected, it is closed
 	commandCount          int        // number of well-formed commands
 	consecutiveErrors     int        // number of malformed commands since the last well-formed one
 	lastCommandAt         policy.Time
-	unread                unreadReplies
+	delivery              delivery
+	closeReason           clientCloseReason // why the connection is closed, once writeClosed is set
 
 	// Set during a handover.
 	queuedCommands []receivedCommand // to be handled after the handover, in this order; see command_queue.go
@@ -78,6 +80,13 @@
 	return maxIdleTime
 }
 
+// isIdle reports whether the connection has been idle for too long: nothing was read that is not answered,
+// and nothing was written that is on its way to the client.
+func (c *client) isIdle(now policy.Time) bool {
+	return now-c.lastCommandAt > c.idleTimeout() && !c.hasOpenCommand() && !c.closeWhenAnswered &&
+		!c.isReadingReplies(now)
+}
+
 // hasOpenCommand reports whether a command was read and not answered: it waits for the event loop, for a
 // reply, or for the end of a handover. Such a connection is neither idle nor evicted.
 func (c *client) hasOpenCommand() bool {
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -32,6 +32,10 @@
 		commandCount: e.commandCount,
 	}
 	c.initReader()
+	if e.inherited {
+		c.delivery.replyWritten() // by the predecessor
+		c.answersDueAt.Store(now + longestTimeout(g.config) + finalAnswerSlack)
+	}
 	since := e.unprocessedSince(c.writer.RawConn(), now)
 	c.lastSeenAt.Store(since)
 	c.pending.init(since)
--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -6,12 +6,15 @@
 )
 
 const (
-	// After the last reply the peer has lingerTime to close the connection, or lingerAfterError if the reply
-	// is an error that ends the connection. The time is extended by lingerTime up to maxLingers times while
-	// replies are not written completely.
+	// After the last reply the peer has lingerTime to close the connection, or lingerAfterError if the
+	// reply is an error that ends the connection. The connection stays open longer while the client waits
+	// for replies that are not delivered, or for maxLinger if it does not.
 	lingerTime       = 500 * millisecond
 	lingerAfterError = 200 * millisecond
-	maxLingers       = 10
+	maxLinger        = 5500 * millisecond
+
+	// Whether the replies are delivered is checked every lingerCheckInterval.
+	lingerCheckInterval = 50 * millisecond
 )
 
 // closeAfterReplies closes the connection when all commands that have arrived are answered.
@@ -20,11 +23,12 @@
 	c.closeIfAnswered(g)
 }
 
-// closeIfAnswered closes the connection if that is due and all commands that have arrived are answered. The
-// sweep calls it too, because no event reports that the reader has processed its input.
+// closeIfAnswered closes the connection if that is due and all commands that have arrived are answered. It is
+// called again when the reader has processed its input. The sweep calls it too, because no event reports that
+// the client has not completed a command in time.
 func (c *client) closeIfAnswered(g *Gateway) {
 	if c.closeWhenAnswered && !c.writeClosed && !c.closed && !c.awaitsReply(g) {
-		c.closeWrite(g)
+		c.closeWrite(g, clientAnswered)
 	}
 }
 
@@ -53,30 +57,52 @@
 }
 
 // closeWrite closes the sending side and gives the peer some time to close the connection first. Closing it
-// with unread input would reset it, and the peer could lose a reply in transit.
-func (c *client) closeWrite(g *Gateway) {
-	c.writeClosed = true
+// with unread input would reset it, and the peer could lose a reply in transit. Until then input is read and
+// dropped.
+func (c *client) closeWrite(g *Gateway, reason clientCloseReason) {
+	c.writeClosed, c.closeReason = true, reason
 	c.writer.CloseWrite()
 	linger := lingerTime
 	if c.ignoreInput.Load() {
 		linger = lingerAfterError
 	}
-	g.events.After(linger, lingerTimer{client: c})
+	g.events.After(linger, lingerTimer{client: c, until: g.events.Now() + maxLinger})
 }
 
-// lingerTimer closes a connection that the peer has not closed. If replies are not written yet, the time is
-// extended up to maxLingers times.
+// lingerTimer closes a connection that the peer has not closed, when the replies are delivered.
 type lingerTimer struct {
-	client     *client
-	extensions int // number of extensions so far
+	client *client
+	until  policy.Time // when the connection is closed, unless the client still waits for replies
 }
 
 func (t lingerTimer) Handle(g *Gateway) {
-	if !t.client.writer.Flushed() && t.extensions < maxLingers {
-		g.events.After(lingerTime, lingerTimer{client: t.client, extensions: t.extensions + 1})
+	c, now := t.client, g.events.Now()
+	if !c.closed && !c.isDelivered() && (now < t.until || c.awaitsDelivery(now)) {
+		g.events.After(lingerCheckInterval, t)
+		return
+	}
+	c.close(g, c.closeReason)
+}
+
+// abandon cancels the open requests of the connection, and closes it when the replies before them are
+// delivered. Commands that were not read stay unread, so that the client sends them again.
+func (c *client) abandon(g *Gateway, reason clientCloseReason) {
+	if c.closed || c.writeClosed {
 		return
 	}
-	t.client.close(g, clientAnswered)
+	c.abandoned = true
+	c.updateGate()
+	now := g.events.Now()
+	abandoned := c.pipeline
+	c.pipeline = nil
+	for _, r := range abandoned {
+		g.cancelRequest(r, reason, now)
+		<-c.pipelineSlots
+	}
+	c.discardQueuedCommands(g)
+	c.closeWhenAnswered = true
+	c.delivery.replyWritten()
+	c.closeWrite(g, reason)
 }
 
 // clientDisconnected reports that a client has closed its connection.
--- a/internal/gateway/client_eviction.go
+++ b/internal/gateway/client_eviction.go
@@ -59,7 +59,8 @@
 			continue
 		}
 		rank := c.evictionRank(now, requester != nil, excess)
-		if rank < lowest || rank == lowest && rank != rankExempt && c.lastCommandAt < victim.lastCommandAt {
+		isIdlest := rank == lowest && rank != rankExempt && c.lastCommandAt < victim.lastCommandAt
+		if (rank < lowest || isIdlest) && !c.awaitsDelivery(now) {
 			victim, lowest = c, rank
 		}
 	}
--- a/internal/gateway/client_reply.go
+++ b/internal/gateway/client_reply.go
@@ -12,7 +12,7 @@
 	}
 	c.pipeline = slices.Delete(c.pipeline, 0, answered)
 	if !c.closed && len(replies) > 0 {
-		c.writer.Send(replies)
+		c.sendReplies(replies)
 		g.limitUnreadReplies()
 	}
 	if len(c.pipeline) == 0 {
@@ -23,6 +23,12 @@
 	}
 }
 
+// sendReplies writes replies to the connection. The caller must not use them afterwards.
+func (c *client) sendReplies(replies []byte) {
+	c.writer.Send(replies)
+	c.delivery.replyWritten()
+}
+
 // collectReplies returns the number of answered requests at the head of the pipeline, and their concatenated
 // replies. It releases their pipeline slots.
 func (c *client) collectReplies(g *Gateway) (answered int, replies []byte) {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -38,11 +38,12 @@
 	now := g.events.Now()
 	for c := range cs.conns {
 		c.detectDisconnect(g)
+		c.observeDelivery(now)
 		c.closeIfUnread(g, now)
 		c.refuseDelayedCommands(g, now)
 		c.handOver(g)
 		c.closeIfAnswered(g)
-		if now-c.lastCommandAt > c.idleTimeout() && !c.hasOpenCommand() && !c.closeWhenAnswered {
+		if c.isIdle(now) {
 			c.close(g, clientIdle)
 		}
 	}
--- a/internal/gateway/unread_replies.go
+++ b/internal/gateway/unread_replies.go
@@ -26,12 +26,6 @@
 	unreadStallTimeout = 5 * second
 )
 
-// unreadReplies observes whether a client reads its replies. It is used only by the event loop's goroutine.
-type unreadReplies struct {
-	written    int64       // value of Writer.Written at progressAt
-	progressAt policy.Time // when the client was last seen to read
-}
-
 // unreadLimit returns how many bytes of replies a client may leave unread before its commands wait. It is
 // safe for any goroutine.
 func (g *Gateway) unreadLimit() int {
@@ -72,11 +66,7 @@
 
 // closeIfUnread closes the connection of a client that has stopped to read and waits for no answer any more.
 func (c *client) closeIfUnread(g *Gateway, now policy.Time) {
-	if written := c.writer.Written(); written != c.unread.written || c.writer.Unwritten() == 0 {
-		c.unread = unreadReplies{written: written, progressAt: now}
-		return
-	}
-	if now-c.unread.progressAt > unreadStallTimeout && now > c.answersDueAt.Load() {
+	if c.writer.Unwritten() > 0 && !c.isReadingReplies(now) {
 		c.close(g, clientRepliesUnread)
 	}
 }
--- a/internal/gateway/value_hold.go
+++ b/internal/gateway/value_hold.go
@@ -207,9 +207,10 @@
 	r.client.updateGate()
 }
 
-// updateGate closes the input gate while an incomplete large value is open, and opens it otherwise.
+// updateGate closes the input gate while an incomplete large value is open or if the connection is
+// abandoned, and opens it otherwise.
 func (c *client) updateGate() {
-	c.gate.set(slices.ContainsFunc(c.pipeline, func(r *request) bool {
+	c.gate.set(c.abandoned || slices.ContainsFunc(c.pipeline, func(r *request) bool {
 		return !r.answered && r.value != nil && !r.value.complete
 	}))
 }
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"sync"
@@ -169,7 +170,7 @@
 func (v *incomingValue) forward(destination *sockwriter.Writer) error {
 	v.conn.readTimeout = transferStallTimeout
 	head := resp.AppendBulkHead(nil, v.size)
-	if err := destination.WriteBlocking(head, transferStallTimeout); err != nil {
+	if err := writeToClient(destination, head); err != nil {
 		return err
 	}
 	if err := v.forwardReceived(destination); err != nil {
@@ -180,7 +181,7 @@
 		writeErr := v.forwardReceived(destination)
 		switch {
 		case errors.Is(err, io.EOF):
-			return destination.WriteBlocking(crlf, transferStallTimeout)
+			return writeToClient(destination, crlf)
 		case err != nil:
 			return err
 		case writeErr != nil:
@@ -194,7 +195,7 @@
 	for len(v.received) > 0 {
 		chunk := v.received[0]
 		v.received = v.received[1:]
-		err := destination.WriteBlocking(chunk.data[:chunk.size], transferStallTimeout)
+		err := writeToClient(destination, chunk.data[:chunk.size])
 		valueChunks.Put(chunk)
 		if err != nil {
 			return err
@@ -203,6 +204,17 @@
 	return nil
 }
 
+// errClientNotWritable reports that a client has ended its connection, or does not read.
+var errClientNotWritable = errors.New("client cannot be written to")
+
+// writeToClient writes a part of a value to a client.
+func writeToClient(destination *sockwriter.Writer, part []byte) error {
+	if err := destination.WriteBlocking(part, transferStallTimeout); err != nil {
+		return fmt.Errorf("%w: %w", errClientNotWritable, err)
+	}
+	return nil
+}
+
 // forwardValue makes the reader of the connection forward its large value to a client. If the reader
 // buffers the value, its read is interrupted, before it gets the instruction: so it resets the deadline
 // only afterwards.
@@ -252,18 +264,23 @@
 }
 
 // finishValueRequest ends a request whose large value was forwarded. If the value is incomplete, the
-// connection to the client is closed, so that the client detects the error.
+// connection to the client is closed after the replies before it, so that the client detects the error.
 func (g *Gateway) finishValueRequest(r *request, err error) {
 	if err != nil {
 		g.log.Info("value incomplete", "id", string(r.args[command.RequestIDArg]), "error", err,
 			"behind", len(r.client.pipeline)-1)
 		r.metrics.Failed.Add(1)
-		r.client.close(g, clientValueIncomplete)
+		if errors.Is(err, errClientNotWritable) {
+			r.client.close(g, clientValueIncomplete)
+		} else {
+			r.client.abandon(g, clientValueIncomplete)
+		}
 		return
 	}
 	r.metrics.Served.Add(1)
 	g.markAnswered(r)
 	r.client.updateGate()
 	r.client.lastCommandAt = g.events.Now()
+	r.client.delivery.replyWritten()
 	r.client.flushReplies(g)
 }
--- a/internal/sockstate/receive.go
+++ b/internal/sockstate/receive.go
@@ -1,5 +1,6 @@
-// Package sockstate reports what the kernel knows about the receiving side of a TCP connection. It reads from
-// connections such that the caller knows whether input may be left unread.
+// Package sockstate reports what the kernel knows about a TCP connection: which input is unread, and which
+// output is not delivered. It reads from connections such that the caller knows whether input may be left
+// unread.
 package sockstate
 
 import (
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -197,6 +197,43 @@
 	}
 }
 
+// Bytes are undelivered until the peer's system has taken them, and so is the end of the sending side.
+func TestSendReportsUndeliveredBytes(t *testing.T) {
+	near, far := connect(t)
+	conn := rawConn(t, near)
+	const size = 8 << 20 // more than the peer's system takes
+	if err := near.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	written, _ := near.Write(make([]byte, size))
+	if state, ok := Send(conn); !ok || state.Undelivered == 0 {
+		t.Errorf("got %+v, %t after %d bytes that the peer has not read", state, ok, written)
+	}
+	if err := near.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, far); n != int64(written) || err != nil {
+		t.Errorf("the peer got %d bytes, error %v; want %d", n, err, written)
+	}
+	for state, ok := Send(conn); state.Undelivered > 0; state, ok = Send(conn) {
+		if !ok { // otherwise the acknowledgement follows the bytes
+			t.Fatal("the state is not known")
+		}
+	}
+}
+
+func TestSendOfClosedConnectionIsUnknown(t *testing.T) {
+	near, _ := connect(t)
+	conn := rawConn(t, near)
+	_ = near.Close()
+	if state, ok := Send(conn); ok {
+		t.Errorf("got %+v of a closed connection", state)
+	}
+	if state, ok := Send(nil); ok {
+		t.Errorf("got %+v of no connection", state)
+	}
+}
+
 // testGate is a Gate that the test opens.
 type testGate struct {
 	open bool
