--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -43,6 +43,10 @@
 	}
 	// The reader posts a command and has its slot before it waits for further input.
 	wait := readerWait(c.readerWaits.Load())
+	if wait == waitsForNoInput {
+		c.reportsWait.Store(true) // so that clientReaderWaits follows, unless the reader waits already
+		wait = readerWait(c.readerWaits.Load())
+	}
 	switch {
 	case len(c.pipelineSlots) > 0:
 		return true
--- a/internal/gateway/client_delivery_test.go
+++ b/internal/gateway/client_delivery_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"sparspread/internal/resp"
+	"sparspread/internal/sockwriter"
 	"sparspread/policy"
 )
 
@@ -130,3 +131,25 @@
 		t.Error("the connection is open after maxLinger")
 	}
 }
+
+// Guards against a connection that stayed open until the next sweep: the shutdown found its reader at work,
+// and nothing reported that the reader had no more input.
+func TestConnectionIsClosedWhenReaderWaits(t *testing.T) {
+	g := newGatewayAcceptingClients(t)
+	far := dialClient(t, g.listening.listener.Addr().String())
+	near := eventAs[clientConnected](t, wait(t, g.events.Queue(), "the connection")).conn
+	c := &client{
+		conn: near, writer: sockwriter.New(near, nil), events: g.events, clock: g.clock,
+		done: make(chan struct{}),
+	}
+	c.initReader()
+	g.clients.conns[c] = true
+	c.closeAfterReplies(g)
+	if c.writeClosed {
+		t.Fatal("the connection was closed while its reader was at work")
+	}
+	go func() { _, _ = c.readFromConn(make([]byte, 1)) }()
+	handleNextEvent(t, g, "the reader's wait")
+	far.wantClosed()
+	c.close(g, clientAnswered)
+}
--- a/internal/gateway/value_hold.go
+++ b/internal/gateway/value_hold.go
@@ -114,6 +114,7 @@
 func (e clientReaderWaits) Handle(g *Gateway) {
 	c := e.client
 	c.reportsWait.Store(false)
+	c.closeIfAnswered(g)
 	if !c.closed && len(c.pipeline) > 0 && c.pipeline[0].value != nil {
 		g.startOrHoldValue(c.pipeline[0])
 	}
