Give inherited connections with input the slots of connections that rest

Cause: the new process closed each handed-over connection for which no slot was free at that moment, with its input. In a crowd none is free: the old process hands over its part of the crowd at first, and the accept goroutine takes each slot that becomes free.

Change: clientReceived evicts a connection in the usual order and takes its slot directly. It does so for connections with input or answers on their way, and for those that have sent requests before. If none can be evicted, a connection with input is accepted without a slot. Connections that have sent nothing are closed as before, and counted (inherited_rejected). Related: a connection whose reader has input in hand counts as one with an open command.

--- a/internal/gateway/client.go
+++ b/internal/gateway/client.go
@@ -51,6 +51,8 @@
 	writeClosed           bool       // the sending side is closed; no further command is accepted
 	abandoned             bool       // its requests are cancelled, and further commands stay unread
 	overLimit             bool       // too many connections are open: its request is rejected, it is closed
+	withoutSlot           bool       // it has none of clients.slots; see inherited_client.go
+	hasReader             bool       // its reader goroutine was started
 	commandCount          int        // number of well-formed commands
 	consecutiveErrors     int        // number of malformed commands since the last well-formed one
 	lastCommandAt         policy.Time
@@ -87,10 +89,24 @@
 		!c.isReadingReplies(now)
 }
 
-// hasOpenCommand reports whether a command was read and not answered: it waits for the event loop, for a
-// reply, or for the end of a handover. Such a connection is neither idle nor evicted.
+// hasOpenCommand reports whether a command was read and not answered: its reader is at work, or it waits for
+// the event loop, for a reply, or for the end of a handover. Such a connection is neither idle nor evicted.
 func (c *client) hasOpenCommand() bool {
-	return len(c.pipelineSlots) > 0 || len(c.pipeline) > 0 || len(c.unparsedInput.bytes) > 0
+	isReading := c.hasReader && !c.readerStopped && readerWait(c.readerWaits.Load()) == waitsForNoInput
+	return isReading || len(c.pipelineSlots) > 0 || len(c.pipeline) > 0 || len(c.unparsedInput.bytes) > 0
+}
+
+// startReading starts the reader goroutine.
+func (c *client) startReading(g *Gateway) {
+	c.hasReader, c.readerStopped = true, false
+	go c.readCommands(g, c.commandCount > 0)
+}
+
+// releaseSlot returns the slot of a connection that is closed or was handed over.
+func (c *client) releaseSlot(g *Gateway) {
+	if !c.withoutSlot {
+		<-g.clients.slots
+	}
 }
 
 // isMidCommand reports whether the reader waits for the rest of a command.
--- a/internal/gateway/client_accept.go
+++ b/internal/gateway/client_accept.go
@@ -17,6 +17,7 @@
 	commandCount   int
 	inheritedInput []byte
 	inherited      bool          // handed over by a predecessor
+	withoutSlot    bool          // it has no slot, because all are in use
 	inputAge       time.Duration // for how long unprocessed input of an inherited connection may have waited
 }
 
@@ -29,7 +30,7 @@
 		events: g.events, openedAt: e.openedAt, clock: g.clock,
 		pipelineSlots: make(chan struct{}, maxPipelined), done: make(chan struct{}),
 		queuedBytes: &g.memory.inputBytes, lastCommandAt: now,
-		commandCount: e.commandCount,
+		commandCount: e.commandCount, withoutSlot: e.withoutSlot,
 	}
 	c.initReader()
 	if e.inherited {
@@ -52,7 +53,7 @@
 	if len(cs.conns) > cs.limit {
 		cs.evict(g, nil)
 	}
-	go c.readCommands(g, c.commandCount > 0)
+	c.startReading(g)
 }
 
 // unprocessedSince returns the earliest time at which unprocessed input of the connection may have arrived.
--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -131,7 +131,7 @@
 	close(c.done)
 	_ = c.conn.Close() // a failed close needs no handling
 	delete(g.clients.conns, c)
-	<-g.clients.slots
+	c.releaseSlot(g)
 	g.clients.counts.countClose(reason, len(c.pipeline) > 0)
 	c.discardQueuedCommands(g)
 	now := g.events.Now()
--- a/internal/gateway/client_delivery_test.go
+++ b/internal/gateway/client_delivery_test.go
@@ -79,7 +79,8 @@
 	slow.sendReplies([]byte(strings.Repeat(slowReaderValue, slowReaderRequests)))
 	advanceClock(t, g, minIdleAfterSeveral)
 	if !g.clients.evict(g, nil) || !idle.closed || slow.closed {
-		t.Errorf("closed the idle client: %t, the slow reader: %t; want only the former", idle.closed, slow.closed)
+		t.Errorf("closed the idle client: %t, the slow reader: %t; want only the former",
+			idle.closed, slow.closed)
 	}
 	if g.clients.evict(g, nil) {
 		t.Error("the slow reader was evicted while it waits for its answers")
--- a/internal/gateway/client_eviction.go
+++ b/internal/gateway/client_eviction.go
@@ -45,31 +45,36 @@
 	rankExempt                                  // not evicted
 )
 
-// evict closes the connection of the lowest rank and, among those, the one that has been idle longest. It
-// reports whether it has closed one. If requester is set, the eviction makes room for a client with a
-// request, and any idle connection may be closed. If requester is nil, it makes room for a new connection,
-// which has sent no request yet.
+// evict closes the connection that chooseVictim returns. It reports whether there was one. If requester is
+// set, the eviction makes room for a client with a request. If requester is nil, it makes room for a new
+// connection, which has sent no request yet.
 func (cs *clients) evict(g *Gateway, requester *client) bool {
-	now := g.events.Now()
+	victim := cs.chooseVictim(g.events.Now(), requester, requester != nil)
+	if victim == nil {
+		return false
+	}
+	cs.counts.countEviction(victim)
+	victim.close(g, clientEvicted)
+	return true
+}
+
+// chooseVictim returns the connection of the lowest rank and, among those, the one that has been idle
+// longest. It returns nil if none can be evicted. It never returns requester, which may be nil. If
+// forRequest is set, any idle connection may be returned.
+func (cs *clients) chooseVictim(now policy.Time, requester *client, forRequest bool) (victim *client) {
 	excess := cs.countWithoutCommand() > cs.limit*maxNoCommandPercent/hundredPercent
-	var victim *client
 	lowest := rankExempt
 	for c := range cs.conns {
 		if c == requester || c.closeWhenAnswered || c.hasOpenCommand() {
 			continue
 		}
-		rank := c.evictionRank(now, requester != nil, excess)
+		rank := c.evictionRank(now, forRequest, excess)
 		isIdlest := rank == lowest && rank != rankExempt && c.lastCommandAt < victim.lastCommandAt
 		if (rank < lowest || isIdlest) && !c.awaitsDelivery(now) {
 			victim, lowest = c, rank
 		}
 	}
-	if victim == nil {
-		return false
-	}
-	cs.counts.countEviction(victim)
-	victim.close(g, clientEvicted)
-	return true
+	return victim
 }
 
 // countEviction counts an evicted connection by the input that its client has sent.
--- a/internal/gateway/client_report.go
+++ b/internal/gateway/client_report.go
@@ -31,6 +31,8 @@
 	closedMidCommand  int // evicted before the first command was complete
 	closedIdle        int // evicted while idle after a reply
 
+	inheritedRejected int // connections of the predecessor that were closed, because all slots were in use
+
 	rejectedOverLimit  int // requests rejected because of too many connections
 	rejectedOverMemory int // requests rejected because of other limits, such as memory
 
@@ -89,7 +91,7 @@
 	attributes = append(attributes,
 		"left_with_open_request", counts.leftWithOpenRequest,
 		"left_behind_input", counts.leftBehindInput, "attempts_unseen", counts.unseen,
-		"longest_disconnect_us", counts.longestDisconnect,
+		"longest_disconnect_us", counts.longestDisconnect, "inherited_rejected", counts.inheritedRejected,
 		"read_ahead_full", cs.readAheadFull.Swap(0), "unread_waits", cs.unreadWaits.Swap(0))
 	g.log.Info("clients", attributes...)
 }
--- a/internal/gateway/handover_clients.go
+++ b/internal/gateway/handover_clients.go
@@ -19,11 +19,10 @@
 // by clientReaderStopped.
 func (c *client) resumeReading(g *Gateway) {
 	if c.readerStopped && !c.closed {
-		c.readerStopped = false
 		c.handingOver.Store(false)
 		c.inheritedInput, c.unparsedInput = c.unparsedInput, arrivedInput{}
 		_ = c.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
-		go c.readCommands(g, c.commandCount > 0)
+		c.startReading(g)
 	}
 	if g.shutdown.isClosing() {
 		c.closeAfterReplies(g)
@@ -65,7 +64,7 @@
 	c.closed = true
 	close(c.done)
 	delete(g.clients.conns, c)
-	<-g.clients.slots
+	c.releaseSlot(g)
 	conn, input := c.conn, c.takeUnprocessedInput(g)
 	g.handover.sendClient(
 		handover.ClientConnection{
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"time"
 
 	"sparspread/internal/handover"
 	"sparspread/internal/phase"
@@ -201,28 +200,6 @@
 	}
 }
 
-// clientReceived reports a client's connection that the predecessor has handed over. The connection is closed
-// if all slots for clients are in use.
-type clientReceived struct{ client handover.Client }
-
-func (e clientReceived) Handle(g *Gateway) {
-	select {
-	case g.clients.slots <- struct{}{}:
-	default:
-		_ = e.client.Conn.Close() // all slots are in use
-		return
-	}
-	inputAge, _ := e.client.InputAge(handover.MonotonicTime()) // zero if the predecessor is an older version
-	clientConnected{
-		conn:           e.client.Conn,
-		openedAt:       e.client.OpeningTime(time.Now()),
-		commandCount:   e.client.Requests,
-		inheritedInput: e.client.Input,
-		inherited:      true,
-		inputAge:       inputAge,
-	}.Handle(g)
-}
-
 // predecessorCostSettled reports the difference between the actual and the estimated cost of a request of the
 // predecessor.
 type predecessorCostSettled struct{ settled handover.CostSettled }
