Release the memory of a held value while it is forwarded, not after its end

Callers saw: with 32 MB and clients that read slowly, values found no room in the memory for held ones, were forwarded after 1.5 s although requests behind them were open, and a break then lost these.

Cause: a value kept its reservation until its client had read all of it.

Test: TestMemoryOfForwardedPartIsReleased.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -35,6 +35,7 @@
 	for len(cs.conns) > cs.limit && cs.evict(g, nil) {
 	}
 	cs.logCounts(g)
+	g.bufferWaitingValues()
 	now := g.events.Now()
 	for c := range cs.conns {
 		c.detectDisconnect(g)
--- a/internal/gateway/value_hold.go
+++ b/internal/gateway/value_hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"sparspread/policy"
 )
@@ -26,19 +27,50 @@
 	request   *request
 	conn      *backendConn
 	size      int
-	arrivedAt policy.Time // when its first bytes had arrived
-	reserved  bool        // memory is reserved for it, and the reader of conn buffers it
-	complete  bool        // it is buffered completely
-	holdOver  bool        // it must not be held back any longer
-	started   bool        // its transfer to the client has started: it is the final reply
+	arrivedAt policy.Time       // when its first bytes had arrived
+	memory    *valueReservation // set when the reader of conn buffers it
+	complete  bool              // it is buffered completely
+	holdOver  bool              // it must not be held back any longer
+	started   bool              // its transfer to the client has started: it is the final reply
 }
 
-// valueMemory limits the memory of buffered values. It is used only by the event loop's goroutine.
+// valueMemory limits the memory of buffered values. It is used only by the event loop's goroutine, except for
+// reserved.
 type valueMemory struct {
-	reserved int           // in bytes
+	reserved atomic.Int64  // in bytes; safe for any goroutine
 	waiting  []*largeValue // held back without a buffer, in the order of their arrival
 }
 
+// valueReservation is the memory that is reserved for a large value. It is released while the value is
+// forwarded, because slow clients would keep it from others. It is safe for concurrent use.
+type valueReservation struct {
+	left  atomic.Int64  // in bytes
+	total *atomic.Int64 // points to valueMemory.reserved
+}
+
+// reserve reserves memory for a value.
+func (m *valueMemory) reserve(size int) *valueReservation {
+	reservation := &valueReservation{total: &m.reserved}
+	reservation.left.Store(int64(size))
+	m.reserved.Add(int64(size))
+	return reservation
+}
+
+// release returns up to size bytes. It has no effect if nothing was reserved.
+func (r *valueReservation) release(size int) {
+	if r == nil {
+		return
+	}
+	for {
+		left := r.left.Load()
+		released := min(left, int64(size))
+		if r.left.CompareAndSwap(left, left-released) {
+			r.total.Add(-released)
+			return
+		}
+	}
+}
+
 // valueMemoryLimit returns the maximum number of bytes of buffered values.
 func (g *Gateway) valueMemoryLimit() int { return g.config.MemoryMB * bytesPerMB / valueMemoryDivisor }
 
@@ -163,7 +195,7 @@
 	g.events.Cancel(r.deadlineTimer)
 	g.events.Cancel(a.timeout)
 	r.deadlineTimer, a.timeout = nil, nil
-	v.conn.forwardValue(r.client.writer, v.reserved && !v.complete)
+	v.conn.forwardValue(r.client.writer, v.memory != nil && !v.complete)
 	g.events.Defer(valueTransferStarted{attempt: a, latency: v.arrivedAt - a.sentAt})
 }
 
@@ -225,15 +257,15 @@
 	g.bufferWaitingValues()
 }
 
-// bufferWaitingValues buffers waiting values, the oldest first, as long as there is memory.
+// bufferWaitingValues buffers waiting values, the oldest first, as long as there is memory. The sweep calls
+// it too, because no event reports that memory was released while a value is forwarded.
 func (g *Gateway) bufferWaitingValues() {
 	m := &g.values
-	for len(m.waiting) > 0 && m.reserved+m.waiting[0].size <= g.valueMemoryLimit() {
+	for len(m.waiting) > 0 && int(m.reserved.Load())+m.waiting[0].size <= g.valueMemoryLimit() {
 		v := m.waiting[0]
 		m.waiting = m.waiting[1:]
-		m.reserved += v.size
-		v.reserved = true
-		v.conn.valueInstructions <- valueInstruction{}
+		v.memory = m.reserve(v.size)
+		v.conn.valueInstructions <- valueInstruction{memory: v.memory}
 	}
 }
 
@@ -245,11 +277,7 @@
 // releaseValueMemory returns the memory of the large value of a request, and its place among the waiting
 // ones.
 func (g *Gateway) releaseValueMemory(r *request) {
-	v := r.value
-	g.values.cancelWaiting(v)
-	if v.reserved {
-		v.reserved = false
-		g.values.reserved -= v.size
-		g.bufferWaitingValues()
-	}
+	g.values.cancelWaiting(r.value)
+	r.value.memory.release(r.value.size)
+	g.bufferWaitingValues()
 }
--- a/internal/gateway/value_hold_test.go
+++ b/internal/gateway/value_hold_test.go
@@ -191,6 +191,22 @@
 	}
 }
 
+// Memory for values is released while they are forwarded, so that slow clients do not keep it from others.
+func TestMemoryOfForwardedPartIsReleased(t *testing.T) {
+	var m valueMemory
+	reservation := m.reserve(3 * transferBufferSize)
+	reservation.release(transferBufferSize)
+	if got := m.reserved.Load(); got != 2*transferBufferSize {
+		t.Errorf("%d bytes are reserved after a part was released", got)
+	}
+	for range 3 { // by the reader and the event loop
+		reservation.release(2 * transferBufferSize)
+	}
+	if got := m.reserved.Load(); got != 0 {
+		t.Errorf("%d bytes are reserved at the end", got)
+	}
+}
+
 // Values are buffered as far as there is memory. One that does not fit waits for the others.
 func TestHeldValuesStayWithinMemory(t *testing.T) {
 	b := newBackend(t)
@@ -214,17 +230,20 @@
 		clients, calls = append(clients, c), append(calls, both[0])
 	}
 	r.waitUntil(t, func(g *Gateway) bool {
-		if g.values.reserved > g.valueMemoryLimit() {
-			t.Errorf("%d bytes are reserved, limit %d", g.values.reserved, g.valueMemoryLimit())
+		reserved := int(g.values.reserved.Load())
+		if reserved > g.valueMemoryLimit() {
+			t.Errorf("%d bytes are reserved, limit %d", reserved, g.valueMemoryLimit())
 		}
-		return g.values.reserved == size && len(g.values.waiting) == 1
+		return reserved == size && len(g.values.waiting) == 1
 	})
 	for i, c := range clients {
 		calls[i].reply(t, value[minValuePrefix:]+largeValueEnd)
 		c.wantLargeValue(value)
 		c.wantValue("small")
 	}
-	r.waitUntil(t, func(g *Gateway) bool { return g.values.reserved == 0 && len(g.values.waiting) == 0 })
+	r.waitUntil(t, func(g *Gateway) bool {
+		return g.values.reserved.Load() == 0 && len(g.values.waiting) == 0
+	})
 }
 
 // The memory of held values is released when their clients leave.
@@ -236,7 +255,9 @@
 	calls[0].startLargeValue(t)
 	r.awaitValue(t, 1)
 	_ = c.conn.Close()
-	r.waitUntil(t, func(g *Gateway) bool { return g.values.reserved == 0 && g.requests.openCount == 0 })
+	r.waitUntil(t, func(g *Gateway) bool {
+		return g.values.reserved.Load() == 0 && g.requests.openCount == 0
+	})
 }
 
 // The large body of a request is read to its end while a value before it is held back.
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -25,6 +25,7 @@
 // valueInstruction tells the reader of a backend's connection what to do with a large value.
 type valueInstruction struct {
 	destination *sockwriter.Writer // the client's writer; nil to read the value into memory first
+	memory      *valueReservation  // for the value in memory; nil if destination is set
 }
 
 // maxValueInstructions is the maximum number of instructions for one value: to buffer it, and to forward it.
@@ -46,7 +47,8 @@
 	conn     *backendConn
 	size     int
 	rest     *resp.StreamedValue
-	received []*valueChunk // the part that is not forwarded yet
+	received []*valueChunk     // the part that is not forwarded yet
+	memory   *valueReservation // nil if the value is not buffered
 }
 
 // streamValue notifies the event loop of a large value, waits until the loop has assigned the writer of a
@@ -132,6 +134,7 @@
 	if err != nil || instruction.destination != nil {
 		return instruction.destination, err
 	}
+	v.memory = instruction.memory
 	switch err := v.buffer(); {
 	case err == nil:
 		events.Post(valueBuffered{conn: v.conn})
@@ -196,6 +199,7 @@
 		chunk := v.received[0]
 		v.received = v.received[1:]
 		err := writeToClient(destination, chunk.data[:chunk.size])
+		v.memory.release(chunk.size)
 		valueChunks.Put(chunk)
 		if err != nil {
 			return err
