Answer a request whose value broke before anything of it was forwarded

Cause: the hold of a value ended after its backend had broken it off, and before the event loop had handled that. The value counted as forwarded, so its client's connection was closed, although nothing had been written to it.

Change: the reader of the backend's connection tells whether it began to forward; if not, the request is answered as failed.

Failed before: TestValueBrokenBeforeItIsForwardedIsAnswered, which forces the order (end of the connection instead of the answer).

--- a/internal/gateway/value_hold_test.go
+++ b/internal/gateway/value_hold_test.go
@@ -191,6 +191,29 @@
 	}
 }
 
+// A backend breaks a value off while it is held back, and the hold ends before the event loop knows of it.
+// Nothing of the value was written, so the request is answered, and its connection stays open.
+func TestValueBrokenBeforeItIsForwardedIsAnswered(t *testing.T) {
+	g, b := newGatewayWithBackend(t)
+	c := connectWithRequest(t, g, notRetryable)
+	handleUntil(t, g, "the dial", func() bool { return len(g.backends.byNumber[1].waiting) == 0 })
+	call := b.nextCall(t)
+	c.send("PING")
+	handleNextEvent(t, g, "the command behind the request")
+	call.startLargeValue(t)
+	handleNextEvent(t, g, "the start of the value")
+	value := clientList(g)[0].pipeline[0].value
+	if value == nil || value.started {
+		t.Fatalf("got value %+v, want one that is held back", value)
+	}
+	call.end(t, false)
+	awaitQueued(g, 1)
+	valueHoldTimer{value}.Handle(g)
+	handleNextEvent(t, g, "the end of the value")
+	c.wantLine("-ERR failed")
+	c.wantLine("+PONG")
+}
+
 // Memory for values is released while they are forwarded, so that slow clients do not keep it from others.
 func TestMemoryOfForwardedPartIsReleased(t *testing.T) {
 	var m valueMemory
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -245,7 +245,15 @@
 	c.bytesConsumed = e.bytesConsumed
 	r.attemptsInFlight--
 	g.releaseValueMemory(r)
-	if !r.answered {
+	switch {
+	case r.answered:
+	case !e.streamed:
+		// The reader had read the end of the connection before it got the client's writer: nothing of the
+		// value was written.
+		r.value = nil
+		r.client.updateGate()
+		g.answer(r, failedReply)
+	default:
 		g.finishValueRequest(r, e.err)
 	}
 	if cost := actualCost(g.config, itemText(e.reply, replyUsage)); cost > 0 {
