--- a/internal/gateway/client_eviction.go
+++ b/internal/gateway/client_eviction.go
@@ -12,22 +12,23 @@
 	maxNoCommandPercent = 75
 	hundredPercent      = 100
 
-	// A connection without a complete command may be evicted when it is older than newConnGrace, and is stale
-	// when it is older than noInputTimeout and no input has arrived.
-	newConnGrace   = 100 * millisecond
+	// A connection without a complete command may be evicted when it is older than minEvictionAge, and is
+	// stale when it is older than noInputTimeout and no input has arrived.
+	minEvictionAge = 100 * millisecond
 	noInputTimeout = 300 * millisecond
 
 	// After several requests, a connection may be evicted when it has been idle for minIdleAfterSeveral.
 	minIdleAfterSeveral = 2 * second
 
-	// minNewConnGrace replaces newConnGrace if the eviction makes room for a client with a request.
-	minNewConnGrace = newConnGrace / 5
+	// minEvictionAgeForRequest replaces minEvictionAge if the eviction makes room for a client with a
+	// request.
+	minEvictionAgeForRequest = minEvictionAge / 5
 
 	// After a single request, a connection is preferred for eviction from minIdleAfterOne, since until then
 	// the client may be about to close it. From briefIdleAfterOne it may be evicted, since a client that
 	// sends no further request has usually closed it by that time.
-	minIdleAfterOne   = 2 * newConnGrace
-	briefIdleAfterOne = newConnGrace / 4
+	minIdleAfterOne   = 2 * minEvictionAge
+	briefIdleAfterOne = minEvictionAge / 4
 )
 
 // evictionRank is the eviction order of connections without an open request. The lowest rank is evicted
@@ -134,7 +135,7 @@
 func newConnRank(age, lastInput policy.Time, forRequest, excess bool) evictionRank {
 	noInput := lastInput == 0
 	switch {
-	case forRequest && age < minNewConnGrace || !forRequest && age < newConnGrace:
+	case forRequest && age < minEvictionAgeForRequest || !forRequest && age < minEvictionAge:
 		return rankExempt
 	case excess && noInput:
 		return rankExcessNoInput
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -29,7 +29,7 @@
 }
 
 // sweep detects disconnects behind unread input, and closes connections that have been idle for too long or
-// exceed the limit. During a handover it hands over connections that are ready for it, and refuses commands
+// exceed the limit. During a handover it hands over connections that are ready for it, and rejects commands
 // that have waited too long for that. It also logs the counts if they are due.
 func (cs *clients) sweep(g *Gateway) {
 	for len(cs.conns) > cs.limit && cs.evict(g, nil) {
@@ -41,7 +41,7 @@
 		c.detectDisconnect(g)
 		c.observeDelivery(now)
 		c.closeIfUnread(g, now)
-		c.refuseDelayedCommands(g, now)
+		c.rejectDelayedCommands(g, now)
 		c.handOver(g)
 		c.closeIfAnswered(g)
 		if c.isIdle(now) {
--- a/internal/gateway/command_queue.go
+++ b/internal/gateway/command_queue.go
@@ -25,13 +25,13 @@
 }
 
 // forwardQueuedCommands prepares the queued commands for the successor, after this process has released the
-// ownership. The commands up to the last one that only this process can answer are refused. A command with a
+// ownership. The commands up to the last one that only this process can answer are rejected. A command with a
 // large body can only be the last one, because its reader waits for a decision on the body: it becomes the
 // start of the input that is not parsed here. The others stay queued until the connection is handed over.
 func (c *client) forwardQueuedCommands(g *Gateway) {
 	for i := len(c.queuedCommands); i > 0; i-- {
 		if !c.queuedCommands[i-1].head().canBeForwarded() {
-			c.refuseQueuedCommands(g, len(c.queuedCommands)-i)
+			c.rejectQueuedCommands(g, len(c.queuedCommands)-i)
 			break
 		}
 	}
@@ -50,20 +50,20 @@
 // if the input is no command, or if the connection stays in this process because it is about to be closed.
 func (h *commandHead) canBeForwarded() bool { return h.args != nil && !h.client.closeWhenAnswered }
 
-// refuseQueuedCommands answers queued commands without the policy, except for the given number of commands at
+// rejectQueuedCommands answers queued commands without the policy, except for the given number of commands at
 // the end of the queue.
-func (c *client) refuseQueuedCommands(g *Gateway, keep int) {
+func (c *client) rejectQueuedCommands(g *Gateway, keep int) {
 	for len(c.queuedCommands) > keep {
 		e := c.queuedCommands[0]
 		c.queuedCommands = c.queuedCommands[1:]
 		e.head().releaseInput(g)
-		e.refuse(g)
+		e.reject(g)
 	}
 }
 
-// refuseDelayedCommands refuses the queued commands of a connection that cannot be handed over soon, because
+// rejectDelayedCommands rejects the queued commands of a connection that cannot be handed over soon, because
 // its client has started to write another command and has not completed it.
-func (c *client) refuseDelayedCommands(g *Gateway, now policy.Time) {
+func (c *client) rejectDelayedCommands(g *Gateway, now policy.Time) {
 	if !g.handover.hasReleasedOwnership() || c.readerStopped {
 		return // nothing is delayed, or the connection is handed over as soon as its pipeline is empty
 	}
@@ -71,7 +71,7 @@
 		return
 	}
 	if now-c.queuedCommands[0].head().receivedAt > maxForwardDelay {
-		c.refuseQueuedCommands(g, 0)
+		c.rejectQueuedCommands(g, 0)
 	}
 }
 
@@ -87,7 +87,7 @@
 // also if it is still in the kernel. It is now if there is none.
 func (c *client) unprocessedSince(now policy.Time) policy.Time {
 	since := now
-	if sockstate.Receive(c.writer.RawConn()) != sockstate.Empty || c.pending.mayBeHeld(now) {
+	if sockstate.Receive(c.writer.RawConn()) != sockstate.Empty || c.pending.mayBeDelayed(now) {
 		since = min(since, c.pending.earliest())
 	}
 	if len(c.unparsedInput.bytes) > 0 {
--- a/internal/gateway/command_queue_test.go
+++ b/internal/gateway/command_queue_test.go
@@ -158,7 +158,7 @@
 			c.wantLine("-BUSY 500")
 			c.wantLine(last.answer)
 			if len(h.backend.calls) > 0 {
-				t.Error("a refused request was sent to the backend")
+				t.Error("a rejected request was sent to the backend")
 			}
 			if n := h.gateway.memory.inputBytes.Load(); n != 0 {
 				t.Errorf("got %d bytes counted after all replies, want 0", n)
@@ -218,7 +218,7 @@
 }
 
 // Guards against a late answer: a queued command waited until its client had written the next command. It is
-// refused in time, and the next command follows the connection.
+// rejected in time, and the next command follows the connection.
 func TestQueuedCommandDoesNotWaitForSlowWriter(t *testing.T) {
 	h, c, rest := acceptAmidSecondCommand(t)
 	h.advanceClock(t, maxForwardDelay+sweepInterval)
@@ -226,7 +226,7 @@
 	c.write(rest)
 	h.wantHandedOver(t, onceCommand(2))
 	if len(h.backend.calls) > 0 {
-		t.Error("a refused request was sent to the backend")
+		t.Error("a rejected request was sent to the backend")
 	}
 }
 
--- a/internal/gateway/inherited_client_test.go
+++ b/internal/gateway/inherited_client_test.go
@@ -29,7 +29,7 @@
 	}
 	// The accept goroutine takes each slot that becomes free.
 	dialClient(t, g.listening.listener.Addr().String())
-	advanceClock(t, g, 2*minNewConnGrace)
+	advanceClock(t, g, 2*minEvictionAgeForRequest)
 	return g
 }
 
@@ -90,15 +90,15 @@
 	}
 }
 
-// A client that rests between two requests goes before one that has sent nothing.
+// A client that is idle between two requests goes before one that has sent nothing.
 func TestInheritedIdleConnectionGetsSlotOfSilentOne(t *testing.T) {
 	g := newCrowdedGateway(t)
 	inherited, _ := newInherited(t, 1, "")
 	clientReceived{inherited}.Handle(g)
 	if inheritedClient(g) != nil {
-		t.Error("the connection took the slot of one that is within its grace")
+		t.Error("the connection took the slot of one that is too new to be evicted")
 	}
-	advanceClock(t, g, newConnGrace)
+	advanceClock(t, g, minEvictionAge)
 	inherited, _ = newInherited(t, 1, "")
 	clientReceived{inherited}.Handle(g)
 	if inheritedClient(g) == nil {
@@ -143,9 +143,9 @@
 	for readerWait(c.readerWaits.Load()) == waitsForNoInput {
 		continue // until the reader has started
 	}
-	advanceClock(t, g, newConnGrace)
-	c.gate.Enter()
-	c.gate.Leave(1) // as when it has read a byte
+	advanceClock(t, g, minEvictionAge)
+	c.gate.BeginRead()
+	c.gate.EndRead(1) // as when it has read a byte
 	if g.clients.evict(g, nil) {
 		t.Error("the connection was evicted")
 	}
--- a/internal/gateway/input_gate.go
+++ b/internal/gateway/input_gate.go
@@ -21,8 +21,8 @@
 	reopened chan struct{} // nil while the gate is open; closed when it opens
 }
 
-// Enter implements sockstate.Gate.
-func (g *inputGate) Enter() bool {
+// BeginRead implements sockstate.Gate.
+func (g *inputGate) BeginRead() bool {
 	g.mu.Lock()
 	if g.reopened != nil && !g.passing.Load() {
 		g.mu.Unlock()
@@ -31,8 +31,8 @@
 	return true
 }
 
-// Leave implements sockstate.Gate. From the first byte on, the reader does not wait any more.
-func (g *inputGate) Leave(n int) {
+// EndRead implements sockstate.Gate. From the first byte on, the reader does not wait any more.
+func (g *inputGate) EndRead(n int) {
 	if n > 0 {
 		g.readerWaits.Store(int32(waitsForNoInput))
 	}
--- a/internal/gateway/pending_input.go
+++ b/internal/gateway/pending_input.go
@@ -7,30 +7,30 @@
 	"sparspread/policy"
 )
 
-// heldInputDelay is the maximum time from the moment at which a connection is drained until the input arrives
+// maxInputDelay is the maximum time from the moment at which a connection is drained until the input arrives
 // that the client's system has held back.
-const heldInputDelay = 10 * millisecond
+const maxInputDelay = 10 * millisecond
 
-// Special values of pendingInput.heldUntil and pendingInput.shutUntil.
+// Special values of pendingInput.delayedUntil and pendingInput.shutUntil.
 const (
-	nothingHeld      = math.MinInt64
-	heldUntilDrained = math.MaxInt64 // until the connection is drained
+	nothingDelayed      = math.MinInt64
+	delayedUntilDrained = math.MaxInt64 // until the connection is drained
 )
 
 // pendingInput describes the input of a connection that the reader has not read yet. It is in the kernel, or,
 // while the receive window is shut, in the client's system. It is safe for concurrent use.
 type pendingInput struct {
-	mu        sync.Mutex  // guards the fields below
-	sentSince policy.Time // the earliest time at which the client may have sent it
-	heldUntil policy.Time // input that arrives until then may have been sent since sentSince
-	shutUntil policy.Time // until then the client's system may hold back input, and a close behind it
+	mu           sync.Mutex  // guards the fields below
+	sentSince    policy.Time // the earliest time at which the client may have sent it
+	delayedUntil policy.Time // input that arrives until then may have been sent since sentSince
+	shutUntil    policy.Time // until then the client's system may hold back input, and a close behind it
 }
 
 // init sets the earliest time at which the client may have sent input.
 func (p *pendingInput) init(sentSince policy.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sentSince, p.heldUntil, p.shutUntil = sentSince, nothingHeld, nothingHeld
+	p.sentSince, p.delayedUntil, p.shutUntil = sentSince, nothingDelayed, nothingDelayed
 }
 
 // earliest returns the earliest time at which the client may have sent the input.
@@ -45,24 +45,24 @@
 func (p *pendingInput) earliestAt(arrivedAt policy.Time) policy.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if arrivedAt <= p.heldUntil {
+	if arrivedAt <= p.delayedUntil {
 		return p.sentSince
 	}
 	return max(p.sentSince, arrivedAt)
 }
 
-// mayBeHeld reports whether input that arrives now may have been held back.
-func (p *pendingInput) mayBeHeld(now policy.Time) bool {
+// mayBeDelayed reports whether input that arrives now may have been held back.
+func (p *pendingInput) mayBeDelayed(now policy.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now <= p.heldUntil
+	return now <= p.delayedUntil
 }
 
 // markDrained records that no input was in the kernel at a time.
 func (p *pendingInput) markDrained(at policy.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if at > p.heldUntil {
+	if at > p.delayedUntil {
 		p.sentSince = at
 	}
 }
@@ -80,9 +80,9 @@
 func (p *pendingInput) markWindowShut(since, now policy.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.shutUntil = heldUntilDrained
+	p.shutUntil = delayedUntilDrained
 	if now-since > arrivalResolution {
-		p.sentSince, p.heldUntil = since, heldUntilDrained
+		p.sentSince, p.delayedUntil = since, delayedUntilDrained
 	}
 }
 
@@ -91,13 +91,13 @@
 func (p *pendingInput) recordDrain(now policy.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.shutUntil == heldUntilDrained {
-		p.shutUntil = now + heldInputDelay
+	if p.shutUntil == delayedUntilDrained {
+		p.shutUntil = now + maxInputDelay
 	}
-	if p.heldUntil == heldUntilDrained {
-		p.heldUntil = now + heldInputDelay
+	if p.delayedUntil == delayedUntilDrained {
+		p.delayedUntil = now + maxInputDelay
 	}
-	if now > p.heldUntil {
+	if now > p.delayedUntil {
 		p.sentSince = now
 	}
 }
--- a/internal/gateway/received_command.go
+++ b/internal/gateway/received_command.go
@@ -13,8 +13,8 @@
 	head() *commandHead
 	// process answers the command, or passes its request to the policy.
 	process(*Gateway)
-	// refuse answers the command without the policy. A request is rejected.
-	refuse(*Gateway)
+	// reject answers the command without the policy. A request is rejected.
+	reject(*Gateway)
 }
 
 // commandHead is the part that all received commands have in common.
@@ -96,7 +96,7 @@
 	g.answer(r, e.reply)
 }
 
-func (e *commandAnswered) refuse(g *Gateway) { e.process(g) }
+func (e *commandAnswered) reject(g *Gateway) { e.process(g) }
 
 // requestDropped is a request whose arguments were dropped for lack of memory. It is answered with a
 // rejection.
@@ -109,9 +109,9 @@
 // Handle implements event.
 func (e *requestDropped) Handle(g *Gateway) { g.handleCommand(e) }
 
-func (e *requestDropped) process(g *Gateway) { e.refuse(g) }
+func (e *requestDropped) process(g *Gateway) { e.reject(g) }
 
-func (e *requestDropped) refuse(g *Gateway) {
+func (e *requestDropped) reject(g *Gateway) {
 	r := e.appendRequest(g, command.Request{RequestID: e.clientRequestID})
 	g.tryReject(r, e.class, true)
 }
@@ -134,9 +134,9 @@
 	e.admit(g)
 }
 
-func (e *requestReceived) refuse(g *Gateway) {
+func (e *requestReceived) reject(g *Gateway) {
 	if e.config != g.config {
-		e.parseAgain(g).refuse(g)
+		e.parseAgain(g).reject(g)
 		return
 	}
 	r := e.appendRequest(g, e.request)
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -45,7 +45,7 @@
 // transfer of a large value to the client has started. An error does not replace a large value that is held
 // back: its transfer starts instead.
 func (g *Gateway) answer(r *request, reply []byte) {
-	if r.answered || r.isValueStarted() || reply[0] == '-' && g.startHeldValue(r) {
+	if r.answered || r.isValueStarted() || reply[0] == '-' && g.endValueHold(r) {
 		return
 	}
 	g.cancelValueTransfer(r)
--- a/internal/gateway/test_client_test.go
+++ b/internal/gateway/test_client_test.go
@@ -175,8 +175,5 @@
 func (c *testClient) wantLargeValue(want string) {
 	c.t.Helper()
 	c.wantLine(fmt.Sprintf("$%d", len(want)))
-	if got := c.read(len(want)); got != want {
-		c.t.Fatal("got another value")
-	}
-	c.wantLine("")
+	c.wantRestOfLargeValue(want)
 }
--- a/internal/gateway/value_hold.go
+++ b/internal/gateway/value_hold.go
@@ -176,8 +176,8 @@
 		len(c.unparsedInput.bytes) > 0 || readerWait(c.readerWaits.Load()) == waitsForNoInput
 }
 
-// startHeldValue starts the transfer of a large value that is held back. It returns false if there is none.
-func (g *Gateway) startHeldValue(r *request) bool {
+// endValueHold starts the transfer of a large value that is held back. It reports whether there is one.
+func (g *Gateway) endValueHold(r *request) bool {
 	if r.value == nil || r.client.closed || r.client.pipeline[0] != r {
 		return false
 	}
--- a/internal/gateway/value_hold_test.go
+++ b/internal/gateway/value_hold_test.go
@@ -128,10 +128,7 @@
 				return
 			}
 			call.finishLargeValue(t, value)
-			if got := c.read(largeSize); got != value {
-				t.Error("the value differs")
-			}
-			c.wantLine("")
+			c.wantRestOfLargeValue(value)
 			calls := b.nextCalls(t, 2, 3)
 			calls[1].replyValue(t, "three")
 			calls[0].replyValue(t, "two")
@@ -153,10 +150,7 @@
 	c.wantLargeValueHead()
 	calls[1].replyValue(t, "two")
 	calls[0].finishLargeValue(t, value)
-	if got := c.read(largeSize); got != value {
-		t.Error("the value differs")
-	}
-	c.wantLine("")
+	c.wantRestOfLargeValue(value)
 	c.wantValue("two")
 }
 
@@ -182,10 +176,7 @@
 			end(r)
 			c.wantLargeValueHead()
 			calls[0].finishLargeValue(t, value)
-			if got := c.read(largeSize); got != value {
-				t.Error("the value differs")
-			}
-			c.wantLine("")
+			c.wantRestOfLargeValue(value)
 			c.wantValue("two")
 		})
 	}
--- a/internal/gateway/value_stream.go
+++ b/internal/gateway/value_stream.go
@@ -46,7 +46,7 @@
 type incomingValue struct {
 	conn     *backendConn
 	size     int
-	rest     *resp.StreamedValue
+	unread   *resp.StreamedValue
 	received []*valueChunk     // the part that is not forwarded yet
 	memory   *valueReservation // nil if the value is not buffered
 }
@@ -59,7 +59,8 @@
 func (c *backendConn) streamValue(
 	events *eventLoop, in *resp.Reader, e *replyReceived,
 ) bool {
-	v := &incomingValue{conn: c, size: e.reply.StreamedSize, rest: in.NewStreamedValue(e.reply.StreamedSize)}
+	size := e.reply.StreamedSize
+	v := &incomingValue{conn: c, size: size, unread: in.NewStreamedValue(size)}
 	defer v.release()
 	if err := v.readPrefix(); err != nil {
 		e.reply, e.err = resp.Reply{}, err // the value cannot be read, so the attempt got no reply
@@ -93,7 +94,7 @@
 
 // readPrefix reads the first bytes of the value.
 func (v *incomingValue) readPrefix() error {
-	for v.size-v.rest.Remaining() < minValuePrefix {
+	for v.size-v.unread.Remaining() < minValuePrefix {
 		if err := v.readChunk(); err != nil {
 			return err
 		}
@@ -114,7 +115,7 @@
 		last++
 	}
 	chunk := v.received[last]
-	n, err := v.rest.Read(chunk.data[chunk.size:])
+	n, err := v.unread.Read(chunk.data[chunk.size:])
 	chunk.size += n
 	return err
 }
--- a/internal/gateway/value_stream_test.go
+++ b/internal/gateway/value_stream_test.go
@@ -49,6 +49,15 @@
 	c.wantLine(fmt.Sprintf("$%d", largeSize))
 }
 
+// wantRestOfLargeValue reads a large value after its head, and checks it.
+func (c *testClient) wantRestOfLargeValue(value string) {
+	c.t.Helper()
+	if got := c.read(len(value)); got != value {
+		c.t.Fatal("got another value")
+	}
+	c.wantLine("")
+}
+
 // The client receives the first bytes of a large value while the backend is still writing it. Both
 // connections are reused afterwards.
 func TestLargeValueIsForwardedWhileRead(t *testing.T) {
@@ -152,10 +161,7 @@
 	r.shutDownFor(t, acceptPeriod)
 	other.wantClosed()
 	call.finishLargeValue(t, value)
-	if got := c.read(largeSize); got != value {
-		t.Error("the value differs")
-	}
-	c.wantLine("")
+	c.wantRestOfLargeValue(value)
 	c.wantClosed()
 	r.runClock() // lets the linger time of the closed connections pass
 	wait(t, r.ended, "the gateway to end")
--- a/internal/sockstate/reader.go
+++ b/internal/sockstate/reader.go
@@ -15,10 +15,10 @@
 
 // Gate decides whether a Reader may take input from the kernel.
 type Gate interface {
-	// Enter reports whether the Reader may read now. If so, Leave follows.
-	Enter() bool
-	// Leave reports the end of a read, which has not waited, and its number of bytes.
-	Leave(n int)
+	// BeginRead reports whether the Reader may read now. If so, EndRead follows.
+	BeginRead() bool
+	// EndRead reports the end of a read, which has not waited, and its number of bytes.
+	EndRead(n int)
 }
 
 // Reader reads from a connection. It is not safe for concurrent use.
@@ -82,13 +82,13 @@
 	if !r.waited {
 		r.shut = !isWindowOpen(int(socket))
 	}
-	if r.gate != nil && !r.gate.Enter() {
+	if r.gate != nil && !r.gate.BeginRead() {
 		r.n, r.err = 0, ErrGateClosed
 		return true
 	}
 	r.n, r.err = readWithoutWaiting(int(socket), r.buffer)
 	if r.gate != nil {
-		r.gate.Leave(max(r.n, 0))
+		r.gate.EndRead(max(r.n, 0))
 	}
 	if errors.Is(r.err, unix.EAGAIN) {
 		r.waited = true
--- a/internal/sockstate/sockstate_test.go
+++ b/internal/sockstate/sockstate_test.go
@@ -240,8 +240,8 @@
 	read int // number of bytes
 }
 
-func (g *testGate) Enter() bool { return g.open }
-func (g *testGate) Leave(n int) { g.read += n }
+func (g *testGate) BeginRead() bool { return g.open }
+func (g *testGate) EndRead(n int)   { g.read += n }
 
 // A Reader takes nothing from the kernel while its gate is closed.
 func TestReaderObeysGate(t *testing.T) {
