Wait in tests for the reader to start and for the last acknowledgement

TestShutdownWaitsForSlowReader failed beside load, in each of three series of 20 repeats (the gateway did not end within 30 s; single failures were not counted). A trace showed 1,195 bytes without an acknowledgement at the last check: the client's system may acknowledge after the client has read. The test now waits for that before it advances the clock, and the connection has to end at the next check.

TestLingerEndsForClientThatDoesNotRead failed in one of six processes that repeated it at once: the reader had not started, so the connection was not closed yet, and the test handles no event that reports the reader. connectSilent now waits until the reader waits.

--- a/internal/gateway/client_delivery_test.go
+++ b/internal/gateway/client_delivery_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -54,7 +55,11 @@
 	r.shutDownFor(t, acceptPeriod+2*lingerTime)
 	c.wantSlowReaderAnswers()
 	c.wantClosed()
-	r.advanceClock(t, 2*lingerCheckInterval)
+	r.waitUntil(t, func(g *Gateway) bool { // the last acknowledgement may follow the client's read
+		return !slices.ContainsFunc(clientList(g), func(c *client) bool { return !c.isDelivered() })
+	})
+	r.clock.shown.Add(lingerCheckInterval)
+	r.gateway.events.Post(inspect(func(*Gateway) {})) // so that the loop looks at the clock
 	wait(t, r.ended, "the gateway to end")
 }
 
--- a/internal/gateway/inherited_client_test.go
+++ b/internal/gateway/inherited_client_test.go
@@ -140,9 +140,6 @@
 func TestEvictionSparesReaderAtWork(t *testing.T) {
 	g := newGatewayAcceptingClients(t)
 	c := connectSilent(t, g)
-	for readerWait(c.readerWaits.Load()) == waitsForNoInput {
-		continue // until the reader has started
-	}
 	advanceClock(t, g, minEvictionAge)
 	c.gate.BeginRead()
 	c.gate.EndRead(1) // as when it has read a byte
--- a/internal/gateway/unread_replies_test.go
+++ b/internal/gateway/unread_replies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -18,16 +19,21 @@
 	return g
 }
 
-// connectSilent connects a client that neither writes nor reads, and returns the gateway's end.
+// connectSilent connects a client that neither writes nor reads, and returns the gateway's end, whose reader
+// waits for input.
 func connectSilent(t *testing.T, g *Gateway) *client {
 	t.Helper()
 	known := maps.Clone(g.clients.conns)
 	dialClient(t, g.listening.listener.Addr().String())
 	handleNextEvent(t, g, "the connection")
 	for c := range g.clients.conns {
-		if !known[c] {
-			return c
+		if known[c] {
+			continue
 		}
+		for readerWait(c.readerWaits.Load()) == waitsForNoInput {
+			runtime.Gosched() // until the reader has started
+		}
+		return c
 	}
 	t.Fatal("the gateway has no new connection")
 	return nil
