Close a lingering connection when its client has left, also if nobody reads

Callers saw: nothing. A connection that was closed with a broken value kept its slot for up to 5.5 s, or its client's timeouts, after the client had reset it while answers were undelivered: its reader leaves the input unread and so does not see the reset.

Change: lingerTimer asks the kernel.

Failed before: TestLingerEndsWhenClientLeaves (open after the client had left).

--- a/internal/gateway/client_close.go
+++ b/internal/gateway/client_close.go
@@ -81,7 +81,9 @@
 
 func (t lingerTimer) Handle(g *Gateway) {
 	c, now := t.client, g.events.Now()
-	if !c.closed && !c.isDelivered() && (now < t.until || c.awaitsDelivery(now)) {
+	mayReceive := !c.closed && !c.isDelivered() && (now < t.until || c.awaitsDelivery(now))
+	// The reader of an abandoned connection does not see that the client has closed it.
+	if mayReceive && sockstate.Receive(c.writer.RawConn()) != sockstate.Closed {
 		g.events.After(lingerCheckInterval, t)
 		return
 	}
--- a/internal/gateway/client_delivery_test.go
+++ b/internal/gateway/client_delivery_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"sparspread/internal/resp"
+	"sparspread/internal/sockstate"
 	"sparspread/internal/sockwriter"
 	"sparspread/policy"
 )
@@ -138,6 +139,30 @@
 	}
 }
 
+// An abandoned connection, whose reader does not read, is closed once its client has left.
+func TestLingerEndsWhenClientLeaves(t *testing.T) {
+	g := newGatewayAcceptingClients(t)
+	far := dialClient(t, g.listening.listener.Addr().String())
+	handleNextEvent(t, g, "the connection")
+	c := clientList(g)[0]
+	c.answersDueAt.Store(g.events.Now() + 60*second)
+	c.sendReplies([]byte(strings.Repeat(slowReaderValue, slowReaderRequests)))
+	c.abandon(g, clientValueIncomplete)
+	advanceClock(t, g, 2*lingerTime)
+	if c.closed {
+		t.Fatal("closed while the client waited for its answers")
+	}
+	_ = far.conn.SetLinger(0)
+	_ = far.conn.Close()
+	for sockstate.Receive(c.writer.RawConn()) != sockstate.Closed {
+		continue // until the reset has arrived
+	}
+	advanceClock(t, g, lingerCheckInterval)
+	if !c.closed {
+		t.Error("open after the client has left")
+	}
+}
+
 // Guards against a connection that stayed open until the next sweep: the shutdown found its reader at work,
 // and nothing reported that the reader had no more input.
 func TestConnectionIsClosedWhenReaderWaits(t *testing.T) {
